Lay out the project and the replay of the fleet's log

The shape follows the first design: pure decisions, a package per peer, records whose order in the platform's log decides. Replay rules are the base of every other part, so they come first with their tests; the thin path follows.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+export PYTHONPATH := src
+CODE := src tests benchmarks examples
+
+.PHONY: test lint format check-tests demo bench soak binary clean
+
+$(VENV)/.ready: requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements.lock
+	touch $@
+
+test: lint check-tests
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check $(CODE)
+	$(BIN)/ruff check $(CODE)
+	$(BIN)/flake8 $(CODE)
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format $(CODE)
+	$(BIN)/ruff check --fix $(CODE)
+
+check-tests: $(VENV)/.ready
+	$(BIN)/python -m pytest
+
+demo: $(VENV)/.ready
+	$(BIN)/python examples/demo.py
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m benchmarks
+
+soak: $(VENV)/.ready
+	SOAK=1 $(BIN)/python -m pytest tests/decisions
+
+clean:
+	rm -rf build .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/src/sycamorespool/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Orders, probes and requests towards backend servers."""
--- /dev/null
+++ b/src/sycamorespool/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/src/sycamorespool/cli.py
@@ -0,0 +1,6 @@
+"""The command line."""
+
+
+def main() -> None:
+    """Run one command."""
+    raise SystemExit("no command yet")
--- /dev/null
+++ b/src/sycamorespool/entries/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entries."""
--- /dev/null
+++ b/src/sycamorespool/models.py
@@ -0,0 +1,155 @@
+"""Data classes that the layers share.
+
+All times that end in ``_s`` are seconds of the monotonic clock of the
+process that holds the object, unless a field says ``unix``.
+"""
+
+import enum
+
+import msgspec
+
+
+class VmState(enum.StrEnum):
+    """What the platform's membership says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """A VM in the platform's (lagging) membership list.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    role : str
+        ``entry``, ``engine``, or ``service/NAME`` for a plain service.
+    address : str
+        ``IP:port``.  For an entry, the address that its peers dial.
+    data_centre, domain : str
+        Data centre and fabric domain; domain names are unique.
+    state : VmState
+        Live or leaving.
+    """
+
+    vm: str
+    role: str
+    address: str
+    data_centre: str
+    domain: str
+    state: VmState = VmState.LIVE
+
+
+class EnginePhase(enum.StrEnum):
+    """What a backend server says it is doing."""
+
+    IDLE = "idle"
+    LOADING = "loading"
+    READY = "ready"
+
+
+class ProbeReport(msgspec.Struct, frozen=True):
+    """A backend server's own answer to a probe.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    incarnation : int
+        Start number of the backend server; a new one is cold.
+    phase : EnginePhase
+        Whether its weights are loaded.
+    group_id : str
+        Group that it was ordered to join, or empty.
+    epoch : int
+        Epoch of the newest order that it took.
+    rank : int
+        Its rank in the group.
+    weights : str
+        ``MODEL@VERSION#RANK`` that lie in its memory, or empty.
+    in_flight : int
+        Requests that it works on.
+    token_interval_s : float
+        Recent mean time between tokens, 0 if none.
+    completed : int
+        Requests completed since it started.
+    """
+
+    vm: str
+    incarnation: int
+    phase: EnginePhase
+    group_id: str = ""
+    epoch: int = -1
+    rank: int = -1
+    weights: str = ""
+    in_flight: int = 0
+    token_interval_s: float = 0.0
+    completed: int = 0
+
+
+class JoinOrder(msgspec.Struct, frozen=True, tag="join", tag_field="order"):
+    """Order a backend server to load weights and join a group."""
+
+    epoch: int
+    group_id: str
+    rank: int
+    members: tuple[str, ...]
+    weights: str
+
+
+class LeaveOrder(msgspec.Struct, frozen=True, tag="leave", tag_field="order"):
+    """Order a backend server to leave its group."""
+
+    epoch: int
+    group_id: str
+
+
+Order = JoinOrder | LeaveOrder
+
+
+class GrantAsk(msgspec.Struct, frozen=True):
+    """What an entry asks of the owner of a unit.
+
+    Parameters
+    ----------
+    entry : str
+        The asking entry.
+    unit : str
+        The owner's unit, ``domain/NAME``.
+    in_flight : dict
+        Requests in flight at the asker, by group id.
+    wanted : dict
+        Places the asker could use, by service.
+    """
+
+    entry: str
+    unit: str
+    in_flight: dict[str, int] = {}
+    wanted: dict[str, int] = {}
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """Leave to have ``places`` requests in flight at a group.
+
+    It holds for ``ttl_s`` from the moment at which the asker began to ask.
+    ``address`` is the leader's ``IP:port``.
+    """
+
+    group_id: str
+    service: str
+    epoch: int
+    places: int
+    ttl_s: float
+    address: str
+    data_centre: str
+    incarnation: int = 0
+    warm: bool = False
+
+
+class GrantAnswer(msgspec.Struct, frozen=True):
+    """The owner's answer to a :class:`GrantAsk`."""
+
+    unit: str
+    config_offset: int
+    grants: tuple[Grant, ...] = ()
--- /dev/null
+++ b/src/sycamorespool/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' API and its client."""
--- /dev/null
+++ b/src/sycamorespool/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log, membership and store."""
--- /dev/null
+++ b/src/sycamorespool/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and the demo."""
--- /dev/null
+++ b/tests/decisions/test_replay.py
@@ -0,0 +1,79 @@
+"""Tests of the replay rules."""
+
+from sycamorespool.decisions import replay
+from sycamorespool import records
+
+SERVICES = {"a": {"group_size": 2, "replicas": 1, "model": "m"}}
+
+
+def make_state():
+    state = replay.FleetState()
+    replay.apply(
+        state, 0, records.ConfigPatch("p0", 0, {"services": SERVICES})
+    )
+    replay.apply(state, 1, records.OwnershipClaim("c0", "domain/d", "e", 1))
+    return state
+
+
+def form(record_id, members, epoch=1, **fields):
+    return records.GroupFormed(
+        record_id, "domain/d", epoch, record_id, "a", members, **fields
+    )
+
+
+class TestPatches:
+    def test_first_patch_on_a_version_wins(self):
+        state = make_state()
+        first = records.ConfigPatch("p1", 1, {"vms": {"v": {}}})
+        second = records.ConfigPatch("p2", 1, {"vms": {"w": {}}})
+        assert replay.apply(state, 2, first).is_accepted
+        assert replay.apply(state, 3, second).status == "conflict"
+        assert list(state.config.vms) == ["v"]
+
+    def test_invalid_patch_changes_nothing(self):
+        state = make_state()
+        patch = records.ConfigPatch("p1", 1, {"services": {"a": {"x": 1}}})
+        assert replay.apply(state, 2, patch).status == "invalid"
+        assert state.version == 1
+
+    def test_record_id_is_applied_once(self):
+        state = make_state()
+        patch = records.ConfigPatch("p1", 1, {})
+        assert replay.apply(state, 2, patch).is_accepted
+        assert replay.apply(state, 3, patch).status == "repeated"
+        assert state.version == 2
+
+
+class TestClaims:
+    def test_claim_names_the_current_epoch(self):
+        state = make_state()
+        late = records.OwnershipClaim("c1", "domain/d", "f", 1)
+        assert replay.apply(state, 2, late).status == "conflict"
+        next_claim = records.OwnershipClaim("c2", "domain/d", "f", 1, 1)
+        assert replay.apply(state, 3, next_claim).is_accepted
+        assert state.epoch_of("domain/d") == 3
+
+
+class TestGroups:
+    def test_vm_belongs_to_one_group(self):
+        state = make_state()
+        assert replay.apply(state, 2, form("g1", ("v1", "v2"))).is_accepted
+        other = form("g2", ("v2", "v3"), replaces="g1")
+        assert replay.apply(state, 3, other).status == "invalid"
+
+    def test_old_epoch_is_rejected(self):
+        state = make_state()
+        replay.apply(
+            state, 2, records.OwnershipClaim("c1", "domain/d", "f", 1, 1)
+        )
+        verdict = replay.apply(state, 3, form("g1", ("v1", "v2")))
+        assert verdict.status == "invalid"
+
+    def test_replicas_are_capped_but_for_a_replacement(self):
+        state = make_state()
+        replay.apply(state, 2, form("g1", ("v1", "v2")))
+        surplus = form("g2", ("v3", "v4"))
+        assert not replay.apply(state, 3, surplus).is_accepted
+        spare = form("g3", ("v3", "v4"), replaces="g1")
+        assert replay.apply(state, 4, spare).is_accepted
+        assert set(state.groups) == {"g1", "g3"}
