Decide by log order alone which attempt of a keyed call sends

An entry that is paused, killed or cut off between any two steps, or an owner that acts beside its successor, must never make a charge run twice.

The replay of a partition's stream names one attempt for each key; leave to send stays true in every later state until that attempt records its outcome or withdraws. Withdrawal excludes sending by one state table, and is remembered, since it may overtake its own intent. A key without outcome never ends by time. Windows end by stamps that two entries have reached, so one fast clock ends none.

--- /dev/null
+++ b/src/sycamorespool/decisions/key_batches.py
@@ -0,0 +1,152 @@
+"""When the owner of a partition appends, and what goes into one append.
+
+The log takes a few hundred appends a second for the whole fleet, so each
+partition has a token bucket with its part of ``appends_per_s``.  An idle
+partition appends at once; a busy one fills batches while it waits::
+
+    wake_at_s = find_append_time(policy, batcher, now_s)
+    batch = take(policy, batcher, record_id, now_s)
+"""
+
+import collections
+import dataclasses
+import typing as t
+
+from sycamorespool import records
+
+RECORD_OVERHEAD_BYTES = 160
+
+Item: t.TypeAlias = (
+    records.KeyIntent | records.KeyOutcome | records.KeyWithdrawal
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BatchPolicy:
+    """Bounds on the appends of the idempotency keys.
+
+    Parameters
+    ----------
+    appends_per_s : float
+        Appends for the keys of the whole fleet.
+    burst : float
+        Appends that a partition may save up.
+    max_items, max_bytes : int
+        Size of one append.
+    max_pending : int
+        Items that may wait; more are refused.
+    """
+
+    partitions: int = 16
+    appends_per_s: float = 150.0
+    burst: float = 4.0
+    max_items: int = 512
+    max_bytes: int = 512 * 1024
+    max_pending: int = 4096
+
+    @property
+    def rate_per_s(self) -> float:
+        """Appends a second of one partition."""
+        return self.appends_per_s / self.partitions
+
+
+@dataclasses.dataclass(slots=True)
+class Batcher:
+    """Items of one partition that wait for an append."""
+
+    tokens: float = 0.0
+    refilled_s: float = 0.0
+    is_appending: bool = False
+    pending: collections.deque[Item] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+def make_batcher(policy: BatchPolicy, now_s: float) -> Batcher:
+    """Return an empty batcher with a full bucket."""
+    return Batcher(policy.burst, now_s)
+
+
+def size_of(item: Item) -> int:
+    """Return the approximate size of an item in the log, in bytes."""
+    body = getattr(item, "body", b"")
+    return RECORD_OVERHEAD_BYTES + len(item.key) + len(body)
+
+
+def add(policy: BatchPolicy, batcher: Batcher, item: Item) -> bool:
+    """Queue an item; False if an intent finds the queue full.
+
+    Outcomes and withdrawals are always taken: they end what has begun.
+    """
+    is_full = len(batcher.pending) >= policy.max_pending
+    if is_full and isinstance(item, records.KeyIntent):
+        return False
+    batcher.pending.append(item)
+    return True
+
+
+def _refill(policy: BatchPolicy, batcher: Batcher, now_s: float) -> None:
+    gained = max(0.0, now_s - batcher.refilled_s) * policy.rate_per_s
+    batcher.tokens = min(policy.burst, batcher.tokens + gained)
+    batcher.refilled_s = now_s
+
+
+def find_append_time(
+    policy: BatchPolicy, batcher: Batcher, now_s: float
+) -> float | None:
+    """Return when to append next, or None while there is nothing to do.
+
+    One append at a time is in flight for a partition, so that what arrives
+    meanwhile shares the next one.
+    """
+    if batcher.is_appending or not batcher.pending:
+        return None
+    _refill(policy, batcher, now_s)
+    missing = max(0.0, 1.0 - batcher.tokens)
+    return now_s + missing / policy.rate_per_s
+
+
+def _pop_items(policy: BatchPolicy, batcher: Batcher) -> list[Item]:
+    items: list[Item] = []
+    size_bytes = 0
+    while batcher.pending and len(items) < policy.max_items:
+        size_bytes += size_of(batcher.pending[0])
+        if items and size_bytes > policy.max_bytes:
+            break
+        items.append(batcher.pending.popleft())
+    return items
+
+
+def _select(items: t.Iterable[Item], kind: type) -> tuple[t.Any, ...]:
+    return tuple(item for item in items if isinstance(item, kind))
+
+
+def take(
+    policy: BatchPolicy, batcher: Batcher, record_id: str, now_s: float
+) -> records.KeyBatch:
+    """Take the next batch and count it as in flight."""
+    _refill(policy, batcher, now_s)
+    batcher.tokens -= 1.0
+    batcher.is_appending = True
+    items = _pop_items(policy, batcher)
+    return records.KeyBatch(
+        record_id,
+        _select(items, records.KeyIntent),
+        _select(items, records.KeyOutcome),
+        _select(items, records.KeyWithdrawal),
+    )
+
+
+def finish(
+    batcher: Batcher, batch: records.KeyBatch, is_appended: bool
+) -> tuple[records.KeyIntent, ...]:
+    """Note the end of an append and return the intents to refuse.
+
+    Outcomes and withdrawals of a failed append go back into the queue.
+    """
+    batcher.is_appending = False
+    if is_appended:
+        return ()
+    batcher.pending.extendleft(reversed(batch.withdrawals))
+    batcher.pending.extendleft(reversed(batch.outcomes))
+    return batch.intents
--- /dev/null
+++ b/src/sycamorespool/decisions/key_snapshots.py
@@ -0,0 +1,144 @@
+"""Snapshots of a partition of the idempotency keys.
+
+The log keeps records for a limited time.  Before they expire, the owner
+appends the replayed state; a reader starts from the snapshot that covers
+most and applies the records after it::
+
+    state = restore(log_entries, first_offset=log_entries[0].offset)
+
+Doubles and late snapshots are harmless: a snapshot says which offset it is
+as of, not where it stands.
+"""
+
+import dataclasses
+import typing as t
+
+import msgspec
+
+from sycamorespool.decisions import keys
+from sycamorespool import exceptions
+from sycamorespool import records
+
+RETENTION_FRACTION = 0.25
+
+
+class StoredKey(msgspec.Struct, frozen=True):
+    """One key within a snapshot."""
+
+    workspace: str
+    key: str
+    state: keys.KeyState
+
+
+class StoredPartition(msgspec.Struct, frozen=True):
+    """The state of a partition within a snapshot."""
+
+    rows: tuple[StoredKey, ...]
+    newest_entry: str
+    newest_unix_s: float
+    stream_unix_s: float
+    contradictions: int
+
+
+def dump(state: keys.PartitionState) -> dict[str, t.Any]:
+    """Return the state as plain data for a snapshot record."""
+    rows = tuple(
+        StoredKey(workspace, key, key_state)
+        for (workspace, key), key_state in state.keys.items()
+    )
+    stored = StoredPartition(
+        rows,
+        state.newest_entry,
+        state.newest_unix_s,
+        state.stream_unix_s,
+        state.contradictions,
+    )
+    return msgspec.to_builtins(stored)
+
+
+def load(snapshot: records.Snapshot) -> keys.PartitionState:
+    """Return the state that a snapshot holds.
+
+    Raises
+    ------
+    KeyHistoryLost
+        If the snapshot is malformed.
+    """
+    try:
+        stored = msgspec.convert(snapshot.state, StoredPartition)
+    except msgspec.ValidationError as error:
+        raise exceptions.KeyHistoryLost(str(error)) from error
+    return keys.PartitionState(
+        snapshot.as_of,
+        {(row.workspace, row.key): row.state for row in stored.rows},
+        stored.newest_entry,
+        stored.newest_unix_s,
+        stored.stream_unix_s,
+        stored.contradictions,
+    )
+
+
+def _choose_start(
+    entries: t.Sequence[records.LogEntry], first_offset: int
+) -> keys.PartitionState:
+    snapshots = [
+        entry.record
+        for entry in entries
+        if isinstance(entry.record, records.Snapshot)
+        and entry.record.as_of + 1 >= first_offset
+    ]
+    if snapshots:
+        return load(max(snapshots, key=lambda snapshot: snapshot.as_of))
+    if first_offset <= 0:
+        return keys.PartitionState()
+    raise exceptions.KeyHistoryLost(
+        f"records before offset {first_offset} expired without a snapshot"
+    )
+
+
+def restore(
+    entries: t.Sequence[records.LogEntry],
+    first_offset: int,
+    window_s: float = keys.KEY_WINDOW_S,
+) -> keys.PartitionState:
+    """Replay the kept records of a stream.
+
+    Parameters
+    ----------
+    first_offset : int
+        Oldest offset that the log still keeps.
+
+    Raises
+    ------
+    KeyHistoryLost
+        If no usable snapshot covers the records that have expired.  Keyed
+        calls of the partition are refused until an operator appends one.
+    """
+    state = _choose_start(entries, first_offset)
+    for entry in entries:
+        keys.apply(state, entry.offset, entry.record, window_s)
+    return state
+
+
+def is_due(
+    now_unix_s: float, last_snapshot_unix_s: float, retention_s: float
+) -> bool:
+    """Tell whether the next snapshot should be written.
+
+    A quarter of the retention leaves three tries before a record expires.
+    """
+    age_s = now_unix_s - last_snapshot_unix_s
+    return age_s >= retention_s * RETENTION_FRACTION
+
+
+def make_record(
+    state: keys.PartitionState, record_id: str, window_s: float
+) -> records.Snapshot:
+    """Drop ended keys and return the snapshot record to append."""
+    keys.prune(state, window_s)
+    return records.Snapshot(record_id, state.offset, dump(state))
+
+
+def copy(state: keys.PartitionState) -> keys.PartitionState:
+    """Return a copy that further records do not change."""
+    return dataclasses.replace(state, keys=dict(state.keys))
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -11,6 +11,7 @@
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
     |   +-- RecordsExpired
+    |   +-- KeyHistoryLost
     +-- PeerError
     |   +-- PeerUnavailable
     |   +-- PeerRejected
@@ -97,6 +98,10 @@
         self.first_offset = first_offset
 
 
+class KeyHistoryLost(PlatformError):
+    """Records of idempotency keys expired before a snapshot held them."""
+
+
 class PeerError(SycamorespoolError):
     """A call to another entry failed."""
 
--- a/src/sycamorespool/records.py
+++ b/src/sycamorespool/records.py
@@ -115,11 +115,23 @@
     body: bytes
 
 
+class KeyWithdrawal(msgspec.Struct, frozen=True):
+    """An attempt that sent nothing and never will; the key is free again.
+
+    Only the attempt itself withdraws, after it can no longer send.
+    """
+
+    workspace: str
+    key: str
+    attempt_id: str
+
+
 class KeyBatch(_Record, frozen=True, tag="key_batch"):
-    """Intents and outcomes of one partition, appended together."""
+    """Records of the keys of one partition, appended together."""
 
     intents: tuple[KeyIntent, ...] = ()
     outcomes: tuple[KeyOutcome, ...] = ()
+    withdrawals: tuple[KeyWithdrawal, ...] = ()
 
 
 class KeySettled(_Record, frozen=True, tag="key_settled"):
