Split the grantor from the domain owner and name peer handlers in a table

Groups and grants are decided by different rules and change at different times, so each gets its module; the protocol between entries maps message types to handlers, so that a part adds its own without touching the others.

--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -11,6 +11,7 @@
 from sycamorespool import environment
 from sycamorespool import fleet
 from sycamorespool import grant_user
+from sycamorespool import grantor
 from sycamorespool.operators import api
 from sycamorespool import owner
 from sycamorespool import settings
@@ -18,20 +19,26 @@
 READINESS_NOTICE_S = 0.5
 
 
-def _make_peer_handler(
-    env: environment.Environment, own: owner.Owner
-) -> transport.Handler:
-    async def handle(message: transport.Message) -> transport.Message:
-        match message:
-            case transport.Ping():
-                return transport.Pong(env.name)
-            case transport.GrantsWanted(ask=ask):
-                answer = owner.grant(own, ask)
-                if answer is not None:
-                    return transport.GrantsGiven(answer)
-        return transport.Refused("not the owner")
+def _make_peer_handlers(
+    env: environment.Environment, granter: grantor.Grantor
+) -> transport.Handlers:
+    """Return the handler of each message that other entries send."""
 
-    return handle
+    async def answer_ping(message: transport.Ping) -> transport.Message:
+        return transport.Pong(env.name)
+
+    async def give_grants(
+        message: transport.GrantsWanted,
+    ) -> transport.Message:
+        answer = grantor.grant(granter, message.ask)
+        if answer is None:
+            return transport.Refused("not the owner")
+        return transport.GrantsGiven(answer)
+
+    return {
+        transport.Ping: answer_ping,
+        transport.GrantsWanted: give_grants,
+    }
 
 
 async def _stop_on_signal(
@@ -55,6 +62,7 @@
     """Run an entry until it is told to stop."""
     env = environment.make_environment(chosen)
     own = owner.Owner(env)
+    granter = grantor.Grantor(own)
     stop = trio.Event()
     listen = chosen.listen
     async with trio.open_nursery() as nursery:
@@ -63,9 +71,9 @@
         nursery.start_soon(fleet.follow_membership, env)
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
-        nursery.start_soon(grant_user.ask_for_grants, env, own)
+        nursery.start_soon(grant_user.ask_for_grants, env, granter)
         await nursery.start(
-            transport.serve, listen.peers, _make_peer_handler(env, own)
+            transport.serve, listen.peers, _make_peer_handlers(env, granter)
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/entries/transport.py
+++ b/src/sycamorespool/entries/transport.py
@@ -49,8 +49,9 @@
 
 Message: t.TypeAlias = Ping | Pong | GrantsWanted | GrantsGiven | Refused
 Handler: t.TypeAlias = collections.abc.Callable[
-    [Message], collections.abc.Awaitable[Message]
+    [t.Any], collections.abc.Awaitable[Message]
 ]
+Handlers: t.TypeAlias = dict[type, Handler]
 
 
 def _decode(data: bytes) -> Message:
@@ -122,15 +123,23 @@
         self._sockets.clear()
 
 
-async def _answer_calls(socket: pynng.Rep0, handle: Handler) -> None:
+async def _answer(data: bytes, handlers: Handlers) -> Message:
+    try:
+        message = _decode(data)
+    except exceptions.PeerRejected as error:
+        return Refused(str(error))
+    handle = handlers.get(type(message))
+    if handle is None:
+        return Refused(f"no handler of {type(message).__name__}")
+    return await handle(message)
+
+
+async def _answer_calls(socket: pynng.Rep0, handlers: Handlers) -> None:
     context = socket.new_context()
     try:
         while True:
             data = await context.arecv()
-            try:
-                reply = await handle(_decode(data))
-            except exceptions.PeerRejected as error:
-                reply = Refused(str(error))
+            reply = await _answer(data, handlers)
             await context.asend(msgspec.msgpack.encode(reply))
     finally:
         context.close()
@@ -138,7 +147,7 @@
 
 async def serve(
     address: str,
-    handle: Handler,
+    handlers: Handlers,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer the calls of other entries at ``IP:port`` until cancelled."""
@@ -148,4 +157,4 @@
         task_status.started()
         async with trio.open_nursery() as nursery:
             for _ in range(REPLY_WORKERS):
-                nursery.start_soon(_answer_calls, socket, handle)
+                nursery.start_soon(_answer_calls, socket, handlers)
--- a/src/sycamorespool/grant_user.py
+++ b/src/sycamorespool/grant_user.py
@@ -6,31 +6,33 @@
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import grantor
 from sycamorespool import models
-from sycamorespool import owner
 
 ASK_PERIOD_S = 0.5
 
 
 async def ask_for_grants(
-    env: environment.Environment, own: owner.Owner
+    env: environment.Environment, granter: grantor.Grantor
 ) -> None:
     """Ask the owner of every domain for grants, for ever."""
     while True:
         async with trio.open_nursery() as nursery:
             for domain in env.domains():
-                nursery.start_soon(_ask_owner, env, own, f"domain/{domain}")
+                nursery.start_soon(
+                    _ask_owner, env, granter, f"domain/{domain}"
+                )
         await trio.sleep(ASK_PERIOD_S)
 
 
 async def _ask_owner(
-    env: environment.Environment, own: owner.Owner, unit: str
+    env: environment.Environment, granter: grantor.Grantor, unit: str
 ) -> None:
     ask = models.GrantAsk(
         env.name, unit, dict(env.held.in_flight), dict(env.held.waiting)
     )
     asked_s = trio.current_time()
-    answer = owner.grant(own, ask)
+    answer = grantor.grant(granter, ask)
     if answer is None:
         answer = await _call_owner(env, ask)
     if answer is not None:
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -1,4 +1,4 @@
-"""The owner of fabric domains: probes, groups, orders and grants."""
+"""The owner of fabric domains: probes, groups and orders."""
 
 import dataclasses
 
@@ -13,7 +13,6 @@
 
 PLAN_PERIOD_S = 0.25
 AFFIRMED_WITHIN_S = 1.5
-GRANT_TTL_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,18 +23,12 @@
     ----------
     reports : dict
         Newest report and the time of its receipt, by VM.
-    promised : dict
-        Places and expiry of each grant, by group id and entry.
     """
 
     env: environment.Environment
     reports: dict[str, tuple[models.ProbeReport, float]] = dataclasses.field(
         default_factory=dict
     )
-    promised: dict[str, dict[str, tuple[int, float]]] = dataclasses.field(
-        default_factory=dict
-    )
-    claimed_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def owns(self, unit: str) -> bool:
         """Tell whether this process is the owner of record of a unit."""
@@ -173,57 +166,3 @@
         await control.send_order(env.pool, env.vms[vm].address, order)
     except exceptions.BackendError as error:
         logging.warning("groups: order failed vm=%s error=%s", vm, error)
-
-
-def grant(owner: Owner, ask: models.GrantAsk) -> models.GrantAnswer | None:
-    """Answer an entry that asks for grants, or None if not the owner."""
-    env = owner.env
-    if not owner.owns(ask.unit):
-        return None
-    now_s = trio.current_time()
-    grants = [
-        given
-        for group_id, group in env.fleet.groups.items()
-        if group.unit == ask.unit
-        and owner.is_whole(group_id, now_s)
-        and (given := _grant_group(owner, group_id, ask, now_s))
-    ]
-    return models.GrantAnswer(ask.unit, env.fleet.config_offset, tuple(grants))
-
-
-def _grant_group(
-    owner: Owner, group_id: str, ask: models.GrantAsk, now_s: float
-) -> models.Grant | None:
-    env = owner.env
-    group = env.fleet.groups[group_id]
-    leader = env.vms.get(group.members[0])
-    service = env.fleet.config.services.get(group.service)
-    if leader is None or service is None:
-        return None
-    if not env.fleet.config.is_in_service(leader.data_centre, leader.vm):
-        return None
-    report = owner.reports[leader.vm][0]
-    is_warm = report.completed >= 8
-    limit = service.warm_limit if is_warm else service.cold_limit
-    promised = owner.promised.setdefault(group_id, {})
-    others = sum(
-        places
-        for entry, (places, expires_s) in promised.items()
-        if entry != ask.entry and expires_s > now_s
-    )
-    share = -(-limit // max(1, len(env.entries())))
-    places = max(0, min(share, limit - others))
-    held, held_until_s = promised.get(ask.entry, (0, 0.0))
-    counted = max(places, held) if held_until_s > now_s else places
-    promised[ask.entry] = (counted, now_s + GRANT_TTL_S)
-    return models.Grant(
-        group_id,
-        group.service,
-        group.epoch,
-        places,
-        GRANT_TTL_S,
-        leader.address,
-        leader.data_centre,
-        report.incarnation,
-        is_warm,
-    )
