--- a/examples/processes.py
+++ b/examples/processes.py
@@ -165,6 +165,26 @@
         await self.put_vm(name, "engine", address, data_centre, domain)
         return process
 
+    async def start_engines(
+        self, name: str, vms: list[str], data_centre: str, domain: str
+    ) -> Process:
+        """Start one process that plays the engines of several VMs."""
+        addresses = [find_free_address() for _ in vms]
+        process = self._start(
+            name,
+            data_centre,
+            addresses[0],
+            "standin",
+            "engines",
+            f"--vms={','.join(vms)},",
+            f"--listen={','.join(addresses)},",
+            f"--platform_address={self._platform}",
+            f"--token_s={self._token_s}",
+        )
+        for vm, address in zip(vms, addresses, strict=True):
+            await self.put_vm(vm, "engine", address, data_centre, domain)
+        return process
+
     async def start_service(
         self, name: str, service: str, data_centre: str, domain: str
     ) -> Process:
--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -27,6 +27,12 @@
                 break
 
 
+def _split(words: str | tuple[str, ...]) -> list[str]:
+    # Fire turns a list with commas into a tuple.
+    names = words if isinstance(words, tuple) else words.split(",")
+    return [name for name in names if name]
+
+
 class Standin:
     """Small stand-ins of the outside systems."""
 
@@ -50,6 +56,24 @@
         standin = engine.Engine(vm, started, platform_address, token_s)
         trio.run(_run_until_signal, engine.serve, standin, listen)
 
+    def engines(
+        self,
+        vms: str,
+        listen: str,
+        platform_address: str,
+        token_s: float = 0.01,
+    ) -> None:
+        """Serve several stand-in model engines in one process.
+
+        ``vms`` and ``listen`` are lists separated by commas.
+        """
+        started = int(time.time() * 1000)
+        standins = {
+            address: engine.Engine(vm, started, platform_address, token_s)
+            for vm, address in zip(_split(vms), _split(listen), strict=True)
+        }
+        trio.run(_run_until_signal, engine.serve_many, standins)
+
     def service(self, vm: str, listen: str) -> None:
         """Serve a stand-in plain service."""
         standin = service.PlainService(vm, int(time.time() * 1000))
--- a/src/sycamorespool/standins/engine.py
+++ b/src/sycamorespool/standins/engine.py
@@ -314,3 +314,10 @@
         nursery.start_soon(engine.run_loads)
         await asgi.serve(engine.app, listen, stop, 0.1)
         nursery.cancel_scope.cancel()
+
+
+async def serve_many(engines: dict[str, Engine], stop: trio.Event) -> None:
+    """Serve several stand-in engines, by address, in one process."""
+    async with trio.open_nursery() as nursery:
+        for address, engine in engines.items():
+            nursery.start_soon(serve, engine, address, stop)
