Probe over kept connections with h11, twice a second

Cause: with 24 VMs an entry, probes took nearly all of its 20% of a core. The rest of the cost was the rate: four probes a second are more than detection needs.

Ruled out: the planner (0.8% of a core with no VM) and the JSON of the report.

--- a/src/sycamorespool/backend_servers/control.py
+++ b/src/sycamorespool/backend_servers/control.py
@@ -1,4 +1,4 @@
-"""Probes and orders towards backend servers."""
+"""Orders towards backend servers."""
 
 import httpcore
 import msgspec
@@ -7,7 +7,6 @@
 from sycamorespool import http_client
 from sycamorespool import models
 
-PROBE_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 2.0
 
 
@@ -22,36 +21,6 @@
         raise exceptions.BackendCut(str(error)) from error
 
 
-async def _exchange(
-    pool: httpcore.AsyncConnectionPool,
-    method: str,
-    url: str,
-    body: bytes,
-    timeout_s: float,
-) -> models.ProbeReport:
-    try:
-        answer = await http_client.exchange(pool, method, url, body, timeout_s)
-    except http_client.NotReached as error:
-        raise exceptions.BackendNotReached(str(error)) from error
-    except http_client.ExchangeFailed as error:
-        raise exceptions.BackendCut(str(error)) from error
-    return _decode_report(answer)
-
-
-async def probe(
-    pool: httpcore.AsyncConnectionPool, address: str
-) -> models.ProbeReport:
-    """Ask the backend server at ``IP:port`` for its state.
-
-    Raises
-    ------
-    BackendNotReached, BackendCut
-        If it does not answer with a report.
-    """
-    url = f"http://{address}/state"
-    return await _exchange(pool, "GET", url, b"", PROBE_TIMEOUT_S)
-
-
 async def send_order(
     pool: httpcore.AsyncConnectionPool, address: str, order: models.Order
 ) -> models.ProbeReport:
@@ -68,4 +37,12 @@
     """
     url = f"http://{address}/orders"
     body = msgspec.json.encode(order)
-    return await _exchange(pool, "POST", url, body, ORDER_TIMEOUT_S)
+    try:
+        answer = await http_client.exchange(
+            pool, "POST", url, body, ORDER_TIMEOUT_S
+        )
+    except http_client.NotReached as error:
+        raise exceptions.BackendNotReached(str(error)) from error
+    except http_client.ExchangeFailed as error:
+        raise exceptions.BackendCut(str(error)) from error
+    return _decode_report(answer)
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -6,12 +6,13 @@
 import trio
 
 from sycamorespool.backend_servers import control
+from sycamorespool.backend_servers import probes
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
 from sycamorespool import records
 
-PLAN_PERIOD_S = 0.25
+PLAN_PERIOD_S = 0.5
 AFFIRMED_WITHIN_S = 1.5
 
 
@@ -26,6 +27,7 @@
     """
 
     env: environment.Environment
+    prober: probes.Prober = dataclasses.field(default_factory=probes.Prober)
     reports: dict[str, tuple[models.ProbeReport, float]] = dataclasses.field(
         default_factory=dict
     )
@@ -74,7 +76,7 @@
 async def _probe(owner: Owner, vm: models.Vm) -> None:
     started_s = trio.current_time()
     try:
-        report = await control.probe(owner.env.pool, vm.address)
+        report = await owner.prober.probe(vm.address)
     except exceptions.BackendError:
         return
     owner.reports[vm.vm] = (report, started_s)
