--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from sycamorespool import asgi
-from sycamorespool.backend_servers import stream
 from sycamorespool import configuration
 from sycamorespool import dispatch
 from sycamorespool import environment
@@ -153,7 +152,7 @@
     )
 
 
-async def _relay(answer: stream.BackendAnswer, send: asgi.Send) -> None:
+async def _relay(answer: dispatch.Answer, send: asgi.Send) -> None:
     content_type = answer.headers.get("content-type", asgi.JSON_TYPE)
     is_stream = content_type == "text/event-stream"
     await send(
@@ -173,7 +172,7 @@
                 "more_body": True,
             }
         )
-    if is_stream and stream.DONE not in tail:
+    if is_stream and dispatch.STREAM_END not in tail:
         raise exceptions.BackendCut("the stream has no last event")
     await send({"type": "http.response.body", "body": b""})
 
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import typing as t
 
 import trio
 
@@ -15,6 +16,9 @@
 PLACE_POLL_S = 0.02
 MAX_ATTEMPTS = 4
 
+Answer: t.TypeAlias = stream.BackendAnswer
+STREAM_END = stream.DONE
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
