--- /dev/null
+++ b/src/sycamorespool/logs.py
@@ -0,0 +1,151 @@
+"""Log lines: a short sentence behind a part's prefix, then fields.
+
+Each part makes one logger with its fixed prefix::
+
+    log = logs.make_logger("grants")
+    log.warning("ask failed", unit="domain/d1", error=error)
+
+gives ``grants: ask failed unit=domain/d1 error='PeerUnavailable: ...'``.
+Fields are those of :data:`FIELDS`; a caller's text, an API key or a secret
+is not among them, and any other field is left out.  A test finds calls
+that name one.  Ids of the request and the attempt in hand are added.
+"""
+
+from collections import abc
+import contextlib
+import contextvars
+import dataclasses
+import types
+
+from absl import logging
+from absl.logging import converter
+
+from sycamorespool import exceptions
+
+FIELDS = frozenset(
+    [
+        "address",
+        "age_s",
+        "attempt_id",
+        "base_version",
+        "bytes",
+        "code",
+        "count",
+        "data_centre",
+        "domain",
+        "entry",
+        "epoch",
+        "error",
+        "file",
+        "group",
+        "incarnation",
+        "name",
+        "offset",
+        "open",
+        "outcome",
+        "places",
+        "priority",
+        "reason",
+        "record_id",
+        "request_id",
+        "role",
+        "service",
+        "state",
+        "status",
+        "unit",
+        "version",
+        "vm",
+        "workspace",
+    ]
+)
+MAX_VALUE_CHARS = 200
+
+_NO_IDS: types.MappingProxyType[str, str] = types.MappingProxyType({})
+_context: contextvars.ContextVar[abc.Mapping[str, str]] = (
+    contextvars.ContextVar("log_fields", default=_NO_IDS)
+)
+
+
+@contextlib.contextmanager
+def fields(request_id: str, attempt_id: str = "") -> abc.Iterator[None]:
+    """Add the ids to every line of this task within a ``with`` block."""
+    ids = {"request_id": request_id, "attempt_id": attempt_id}
+    token = _context.set({name: id_ for name, id_ in ids.items() if id_})
+    try:
+        yield
+    finally:
+        _context.reset(token)
+
+
+def _describe_error(error: Exception) -> str:
+    # The details of these may quote a caller or a backend server.
+    if isinstance(error, exceptions.NotRun | exceptions.OutcomeUnknown):
+        return f"{type(error).__name__}: {error.code}"
+    if isinstance(error, exceptions.BackendRefused):
+        return f"{type(error).__name__}: {error.status}"
+    return f"{type(error).__name__}: {error}"
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    if isinstance(value, Exception):
+        value = _describe_error(value)
+    text = str(value)[:MAX_VALUE_CHARS]
+    is_plain = text.isprintable() and not set(text) & set(" ='\"")
+    return text if text and is_plain else repr(text)
+
+
+def format_line(prefix: str, sentence: str, values: dict[str, object]) -> str:
+    """Return one log line; fields not in :data:`FIELDS` are left out."""
+    words = [f"{prefix}: {sentence}"]
+    words += [
+        f"{name}={_format_value(value)}"
+        for name, value in values.items()
+        if name in FIELDS
+    ]
+    return " ".join(words)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Logger:
+    """Writes the lines of one part."""
+
+    prefix: str
+
+    def _write(
+        self, level: int, sentence: str, values: dict[str, object]
+    ) -> None:
+        standard_level = converter.absl_to_standard(level)
+        if not logging.get_absl_logger().isEnabledFor(standard_level):
+            return
+        line = format_line(self.prefix, sentence, {**values, **_context.get()})
+        # The position of the caller of info() and its kin is logged.
+        logging.log(level, "%s", line, stacklevel=3)
+
+    def debug(self, sentence: str, **values: object) -> None:
+        """Log what a developer needs."""
+        self._write(logging.DEBUG, sentence, values)
+
+    def info(self, sentence: str, **values: object) -> None:
+        """Log a change that operators expect."""
+        self._write(logging.INFO, sentence, values)
+
+    def warning(self, sentence: str, **values: object) -> None:
+        """Log a fault that the system handles by itself."""
+        self._write(logging.WARNING, sentence, values)
+
+    def error(self, sentence: str, **values: object) -> None:
+        """Log a fault that needs an operator."""
+        self._write(logging.ERROR, sentence, values)
+
+
+def make_logger(prefix: str) -> Logger:
+    """Return the logger of one part."""
+    return Logger(prefix)
+
+
+def set_up(verbosity: int = logging.INFO) -> None:
+    """Send lines to standard error by absl's handler."""
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from sycamorespool import invariants
+
 LIST_NAME = "KNOWN-RED.txt"
 FIELDS = ("test id", "command and seed", "what was seen", "issue")
 
@@ -55,7 +57,8 @@
 
 
 def pytest_configure(config: pytest.Config) -> None:
-    """Read the list."""
+    """Read the list; promises that do not hold raise."""
+    invariants.set_strict(True)
     path = pathlib.Path(config.rootpath, LIST_NAME)
     text = path.read_text() if path.exists() else ""
     config.stash[ENTRIES] = parse_list(text)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,86 @@
+"""Tests of the log lines."""
+
+import ast
+import pathlib
+
+import pytest
+
+from sycamorespool import exceptions
+from sycamorespool import logs
+
+SOURCE = pathlib.Path(logs.__file__).parent
+LEVELS = frozenset({"debug", "info", "warning", "error"})
+CALLER_TEXT = "send 40 red shirts to gate 7"
+
+
+def find_log_calls():
+    """Yield the file and node of every call of a part's logger."""
+    for path in sorted(SOURCE.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if (
+                isinstance(node, ast.Call)
+                and isinstance(node.func, ast.Attribute)
+                and node.func.attr in LEVELS
+                and ast.unparse(node.func.value) == "_log"
+            ):
+                yield path.name, node
+
+
+class TestLines:
+    @pytest.mark.parametrize(
+        ("values", "line"),
+        [
+            ({}, "grants: asked"),
+            ({"unit": "domain/d1"}, "grants: asked unit=domain/d1"),
+            ({"age_s": 0.12345}, "grants: asked age_s=0.123"),
+            ({"reason": "no reply"}, "grants: asked reason='no reply'"),
+            (
+                {"reason": "a\nb: forged"},
+                r"grants: asked reason='a\nb: forged'",
+            ),
+            ({"reason": ""}, "grants: asked reason=''"),
+            (
+                {"error": exceptions.PeerUnavailable("gone")},
+                "grants: asked error='PeerUnavailable: gone'",
+            ),
+        ],
+    )
+    def test_line_has_prefix_sentence_and_fields(self, values, line):
+        assert logs.format_line("grants", "asked", values) == line
+
+    def test_ids_of_the_request_are_added(self, caplog):
+        log = logs.make_logger("callers")
+        with caplog.at_level("INFO", logger="absl"):
+            with logs.fields("r1", "a1"):
+                log.info("served", status=200)
+            log.info("idle")
+        assert [record.getMessage() for record in caplog.records] == [
+            "callers: served status=200 request_id=r1 attempt_id=a1",
+            "callers: idle",
+        ]
+
+
+class TestSecrets:
+    @pytest.mark.parametrize("name", ["body", "key", "prompt", "text"])
+    def test_field_with_a_callers_text_is_left_out(self, name):
+        line = logs.format_line("callers", "served", {name: CALLER_TEXT})
+        assert line == "callers: served"
+
+    @pytest.mark.parametrize(
+        "error",
+        [
+            exceptions.NotRun("bad_request", CALLER_TEXT),
+            exceptions.OutcomeUnknown("answer_lost", CALLER_TEXT),
+            exceptions.BackendRefused(503, CALLER_TEXT),
+        ],
+    )
+    def test_error_that_quotes_a_caller_is_named_only(self, error):
+        line = logs.format_line("callers", "refused", {"error": error})
+        assert CALLER_TEXT not in line
+
+    def test_every_call_names_known_fields_and_a_fixed_sentence(self):
+        for name, call in find_log_calls():
+            place = f"{name}:{call.lineno}"
+            sentence, *others = call.args
+            assert isinstance(sentence, ast.Constant) and not others, place
+            assert {k.arg for k in call.keywords} <= logs.FIELDS, place
