Keep metrics in one table, with histograms a class and signs of decline

Cause: the board fears a slow, unnoticed decline; nothing was counted. Times between tokens are one call a stream. Before: no metric.

--- /dev/null
+++ b/src/sycamorespool/metric_table.py
@@ -0,0 +1,172 @@
+"""Every metric: its kind, unit, labels and meaning.
+
+docs/metrics.md says what to do about each; a test compares the two.
+"""
+
+import typing as t
+
+
+class Metric(t.NamedTuple):
+    """What a metric is.
+
+    Parameters
+    ----------
+    kind : {"counter", "gauge", "histogram"}
+        Gauges of the fleet's state are about what this entry owns, so the
+        sum, or the largest, over all entries is that of the fleet.
+    unit : str
+        Unit of the value.
+    labels : tuple of str
+        What the further parts of its name are.
+    meaning : str
+        One sentence.
+    """
+
+    kind: t.Literal["counter", "gauge", "histogram"]
+    unit: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
+_CLASS = ("workspace", "priority")
+
+METRICS: dict[str, Metric] = {
+    "requests_served": Metric(
+        "counter", "requests", _CLASS, "Whole answers given to callers."
+    ),
+    "requests_not_run": Metric(
+        "counter", "requests", ("code",), "Refusals that say not run."
+    ),
+    "requests_outcome_unknown": Metric(
+        "counter",
+        "requests",
+        ("code",),
+        "Answers that say that the outcome is unknown.",
+    ),
+    "requests_cut": Metric(
+        "counter",
+        "requests",
+        _CLASS,
+        "Streams that ended before their last event.",
+    ),
+    "attempts_retried": Metric(
+        "counter",
+        "attempts",
+        ("workspace",),
+        "Attempts after the first of a request.",
+    ),
+    "retries_denied": Metric(
+        "counter",
+        "attempts",
+        ("workspace",),
+        "Retries that the retry budget did not allow.",
+    ),
+    "requests_open": Metric(
+        "gauge", "requests", (), "Requests of callers that are open."
+    ),
+    "requests_queued": Metric(
+        "gauge", "requests", (), "Requests that wait for a place."
+    ),
+    "first_token_s": Metric(
+        "histogram",
+        "s",
+        _CLASS,
+        "From the arrival of a request to the first byte of its answer.",
+    ),
+    "between_tokens_s": Metric(
+        "histogram",
+        "s",
+        _CLASS,
+        "Mean time between the chunks of a stream, one count per chunk.",
+    ),
+    "queue_wait_s": Metric(
+        "histogram",
+        "s",
+        _CLASS,
+        "From the arrival of a request to its place at a replica.",
+    ),
+    "groups_wanted": Metric(
+        "gauge", "groups", ("service",), "Replicas that are configured."
+    ),
+    "groups_serving": Metric(
+        "gauge",
+        "groups",
+        ("service",),
+        "Whole groups of the domains that this entry owns.",
+    ),
+    "below_capacity_age_s": Metric(
+        "gauge",
+        "s",
+        ("service",),
+        "How long a group of the entry's domains has not been whole.",
+    ),
+    "vms_stranded": Metric(
+        "gauge",
+        "VMs",
+        (),
+        "Live VMs in service that serve in no working group.",
+    ),
+    "vm_stranded_age_max_s": Metric(
+        "gauge", "s", (), "How long the oldest of them has been stranded."
+    ),
+    "vms_quarantined": Metric(
+        "gauge", "VMs", (), "VMs in quarantine after a change of owner."
+    ),
+    "quarantine_age_max_s": Metric(
+        "gauge", "s", (), "Age of the oldest quarantine."
+    ),
+    "ramp_stuck_age_max_s": Metric(
+        "gauge",
+        "s",
+        (),
+        "How long the slowest replica that serves has been cold.",
+    ),
+    "share_error": Metric(
+        "gauge",
+        "ratio",
+        _CLASS,
+        "Share of the capacity received less the share due.",
+    ),
+    "log_lag_s": Metric(
+        "gauge", "s", (), "Age of the last read that reached the log's head."
+    ),
+    "config_version": Metric(
+        "gauge", "version", (), "Version of the configuration in force."
+    ),
+    "units_owned": Metric(
+        "gauge", "units", (), "Domains and key partitions that it owns."
+    ),
+    "units_unowned": Metric(
+        "gauge",
+        "units",
+        (),
+        "Domains whose owner of record is not a live entry.",
+    ),
+    "entries_live": Metric(
+        "gauge", "entries", (), "Entries that the membership list names."
+    ),
+    "keys_without_outcome": Metric(
+        "gauge", "keys", (), "Intents of keyed calls that have no outcome."
+    ),
+    "key_without_outcome_age_max_s": Metric(
+        "gauge", "s", (), "Age of the oldest of them."
+    ),
+    "log_reads_failed": Metric(
+        "counter", "reads", (), "Reads that the log did not answer."
+    ),
+    "log_appends_failed": Metric(
+        "counter", "appends", (), "Appends refused, or whose answer was lost."
+    ),
+    "orders_failed": Metric(
+        "counter", "orders", (), "Orders refused, or whose answer was lost."
+    ),
+    "invariants_violated": Metric(
+        "counter", "violations", ("invariant",), "Promises that did not hold."
+    ),
+    "series_dropped": Metric(
+        "counter",
+        "values",
+        (),
+        "Values of series past the bound on their number.",
+    ),
+}
--- /dev/null
+++ b/src/sycamorespool/metrics.py
@@ -0,0 +1,224 @@
+"""Metrics of an entry: counters, gauges and histograms, sent by statsd.
+
+:mod:`sycamorespool.metric_table` names every metric.  Nothing is sent when
+a value changes: :func:`export` sends one batch a period, so a token costs
+no datagram::
+
+    metrics = Metrics()
+    metrics.count("requests_served", "ferreyra", "high")
+    metrics.observe("queue_wait_s", 0.012, "ferreyra", "high")
+    metrics.set("log_lag_s", 0.4)
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import re
+import typing as t
+
+import statsd
+import trio
+
+from sycamorespool import exceptions
+from sycamorespool import histograms
+from sycamorespool import invariants
+from sycamorespool import metric_table
+
+EXPORT_PERIOD_S = 5.0
+WINDOW_S = 60.0
+MAX_SERIES = 4096
+MAX_DATAGRAM_BYTES = 1432
+
+Series: t.TypeAlias = tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Metrics:
+    """The values of one entry, by name and labels."""
+
+    counters: collections.Counter[Series] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    gauges: dict[Series, float] = dataclasses.field(default_factory=dict)
+    windows: dict[Series, histograms.Windows] = dataclasses.field(
+        default_factory=dict
+    )
+    rotated_s: float = float("-inf")
+    _sent: collections.Counter[Series] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def _admit(self, known: abc.Container[Series], series: Series) -> bool:
+        metric = metric_table.METRICS[series[0]]
+        if len(series) != 1 + len(metric.labels):
+            raise ValueError(f"{series[0]} has the labels {metric.labels}")
+        if series in known:
+            return True
+        total = len(self.counters) + len(self.gauges) + len(self.windows)
+        if total < MAX_SERIES:
+            return True
+        self.counters[("series_dropped",)] += 1
+        return False
+
+    def count(self, name: str, *labels: str, times: int = 1) -> None:
+        """Add to a counter.
+
+        Raises
+        ------
+        KeyError, ValueError
+            If there is no such metric, or not with so many labels.
+        """
+        series = (name, *labels)
+        if self._admit(self.counters, series):
+            self.counters[series] += times
+
+    def set(self, name: str, value: float, *labels: str) -> None:
+        """Set a gauge; errors as for :meth:`count`."""
+        series = (name, *labels)
+        if self._admit(self.gauges, series):
+            self.gauges[series] = value
+
+    def observe(
+        self, name: str, value_s: float, *labels: str, times: int = 1
+    ) -> None:
+        """Count a duration in a histogram; errors as for :meth:`count`."""
+        series = (name, *labels)
+        pair = self.windows.get(series)
+        if pair is None:
+            if not self._admit(self.windows, series):
+                return
+            pair = self.windows[series] = histograms.Windows()
+        pair.current.observe(value_s, times)
+
+    def observe_stream(
+        self, first_s: float, last_s: float, chunks: int, *labels: str
+    ) -> None:
+        """Count the times between the chunks of one stream by their mean.
+
+        Parameters
+        ----------
+        first_s, last_s : float
+            When its first and its last chunk were passed on.
+        chunks : int
+            How many there were; one chunk has no time between.
+        """
+        if chunks > 1:
+            gap_s = (last_s - first_s) / (chunks - 1)
+            self.observe("between_tokens_s", gap_s, *labels, times=chunks - 1)
+
+    def rotate(self, now_s: float) -> None:
+        """Begin a new window of the histograms if the last one is over."""
+        if now_s - self.rotated_s < WINDOW_S:
+            return
+        self.rotated_s = now_s
+        for windows in self.windows.values():
+            windows.rotate()
+
+    def describe(self) -> dict[str, t.Any]:
+        """Return all values in the form that ``/status`` shows.
+
+        A series is named by its parts joined by dots; histograms are those
+        of the last one to two minutes, and since the start.
+        """
+        return {
+            "counters": {_join(s): v for s, v in self.counters.items()},
+            "gauges": {_join(s): v for s, v in self.gauges.items()},
+            "histograms": {
+                _join(series): {
+                    "recent": windows.recent().summarise(),
+                    "since_start": windows.since_start().summarise(),
+                }
+                for series, windows in self.windows.items()
+            },
+        }
+
+    def send(self, client: statsd.StatsClient) -> None:
+        """Send all values in as few datagrams as they fit into."""
+        with client.pipeline() as batch:
+            for series, value in self.counters.items():
+                grown = value - self._sent[series]
+                if grown:
+                    batch.incr(_join(series), grown)
+            for series, gauge in self.gauges.items():
+                batch.gauge(_join(series), gauge)
+            for series, windows in self.windows.items():
+                _send_quantiles(batch, series, windows.recent())
+        self._sent = collections.Counter(self.counters)
+
+
+def _join(series: Series) -> str:
+    # A dot, colon, bar or at sign in a name would be read as syntax.
+    return ".".join(re.sub(r"[^A-Za-z0-9_-]", "_", s) for s in series)
+
+
+def _send_quantiles(
+    batch: statsd.client.udp.Pipeline,
+    series: Series,
+    recent: histograms.Histogram,
+) -> None:
+    for name, fraction in histograms.QUANTILES.items():
+        value_s = min(recent.quantile(fraction), histograms.BOUNDS_S[-1])
+        batch.gauge(f"{_join(series)}.{name}", value_s)
+    batch.gauge(f"{_join(series)}.count", recent.count)
+
+
+class _Client(statsd.StatsClient):
+    """A client whose sends never wait; a datagram that has to is dropped."""
+
+    def __init__(self, host: str, port: int, prefix: str) -> None:
+        super().__init__(
+            host,
+            port,
+            prefix,
+            maxudpsize=MAX_DATAGRAM_BYTES,
+            ipv6=":" in host,
+        )
+        self._sock.setblocking(False)
+
+
+def make_client(address: str, prefix: str) -> statsd.StatsClient | None:
+    """Return a client for ``IP:port``, or None if the address is empty.
+
+    Raises
+    ------
+    SettingsError
+        If the address cannot be used.
+    """
+    if not address:
+        return None
+    host, _, port = address.rpartition(":")
+    try:
+        return _Client(host.strip("[]"), int(port), prefix)
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError(
+            "statsd", "address", str(error)
+        ) from error
+
+
+def count_violations(metrics: Metrics) -> None:
+    """Export the promises that do not hold from now on."""
+    invariants.listen(
+        lambda name, detail: metrics.count("invariants_violated", name)
+    )
+
+
+async def export(
+    metrics: Metrics,
+    client: statsd.StatsClient | None,
+    update: abc.Callable[[float], None],
+    period_s: float = EXPORT_PERIOD_S,
+) -> None:
+    """Update the gauges and send all values once a period, for ever.
+
+    Parameters
+    ----------
+    update : callable
+        Sets the gauges for the time it is given, in s.
+    """
+    while True:
+        await trio.sleep(period_s)
+        now_s = trio.current_time()
+        update(now_s)
+        metrics.rotate(now_s)
+        if client is not None:
+            metrics.send(client)
--- /dev/null
+++ b/tests/decisions/test_decline.py
@@ -0,0 +1,90 @@
+"""Tests of the signs of a slow decline."""
+
+import pytest
+
+from sycamorespool.decisions import decline
+from sycamorespool.decisions import replay
+from sycamorespool import models
+from sycamorespool import records
+
+SERVICES = {"a": {"group_size": 2, "replicas": 2}}
+VMS = {
+    f"v{i}": models.Vm(f"v{i}", "engine", f"10.0.0.{i}:80", "palermo", "d")
+    for i in range(5)
+}
+GROUPS = {"g1": ("v0", "v1"), "g2": ("v2", "v3")}
+
+
+def make_fleet(patch=None):
+    fleet = replay.FleetState()
+    document = {"services": SERVICES, **(patch or {})}
+    replay.apply(fleet, 0, records.ConfigPatch("p", 0, document))
+    replay.apply(fleet, 1, records.OwnershipClaim("c", "domain/d", "e", 1))
+    for offset, (name, members) in enumerate(GROUPS.items(), start=2):
+        formed = records.GroupFormed(name, "domain/d", 1, name, "a", members)
+        assert replay.apply(fleet, offset, formed).is_accepted
+    return fleet
+
+
+class Watch:
+    """Finds the signs again and again, as an entry does."""
+
+    def __init__(self, fleet, vms=None):
+        self.state = decline.DeclineState()
+        self.fleet = fleet
+        self.vms = VMS if vms is None else vms
+
+    def look(self, now_s, whole, cold=frozenset()):
+        return decline.find_signs(
+            self.state, self.fleet, self.vms, GROUPS, whole, cold, now_s
+        )
+
+
+class TestSigns:
+    def test_vm_of_no_working_group_is_stranded(self):
+        watch = Watch(make_fleet())
+        signs = watch.look(10.0, {"g1", "g2"})
+        assert (signs.vms_stranded, signs.groups_serving) == (1, {"a": 2})
+        signs = watch.look(13.0, {"g1"})
+        assert (signs.vms_stranded, signs.groups_serving) == (3, {"a": 1})
+        assert signs.vm_stranded_age_max_s == 3.0
+
+    def test_age_ends_with_its_cause(self):
+        watch = Watch(make_fleet(), {k: VMS[k] for k in ("v2", "v3")})
+        ages = [
+            watch.look(now_s, whole).vm_stranded_age_max_s
+            for now_s, whole in (
+                (0.0, {"g1"}),
+                (5.0, {"g1"}),
+                (6.0, {"g1", "g2"}),
+                (7.0, {"g1"}),
+                (8.0, {"g1"}),
+            )
+        ]
+        assert ages == [0.0, 5.0, 0.0, 0.0, 1.0]
+
+    def test_time_below_capacity_is_per_service(self):
+        watch = Watch(make_fleet())
+        watch.look(0.0, {"g1"})
+        signs = watch.look(4.0, {"g2"})
+        assert signs.below_capacity_age_s == {"a": 4.0}
+        signs = watch.look(5.0, {"g1", "g2"})
+        assert signs.below_capacity_age_s == {"a": 0.0}
+
+    def test_replica_that_stays_cold_is_a_stuck_ramp(self):
+        watch = Watch(make_fleet())
+        watch.look(0.0, {"g1", "g2"}, {"g1", "g2"})
+        signs = watch.look(9.0, {"g1", "g2"}, {"g2"})
+        assert signs.ramp_stuck_age_max_s == 9.0
+        signs = watch.look(10.0, {"g1"}, {"g2"})
+        assert signs.ramp_stuck_age_max_s == 0.0
+
+    @pytest.mark.parametrize(
+        "patch",
+        [
+            {"data_centres": {"palermo": {"in_service": False}}},
+            {"vms": {name: {"in_service": False} for name in VMS}},
+        ],
+    )
+    def test_what_is_out_of_service_is_not_stranded(self, patch):
+        assert Watch(make_fleet(patch)).look(0.0, set()).vms_stranded == 0
