--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -7,6 +7,8 @@
     +-- SettingsError
     +-- ConfigurationError
     |   +-- PatchConflict
+    +-- ReplayError
+    |   +-- SnapshotInvalid
     +-- PlatformError
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
@@ -71,6 +73,14 @@
         self.current_version = current_version
 
 
+class ReplayError(SycamorespoolError):
+    """The records of the log don't yield a state."""
+
+
+class SnapshotInvalid(ReplayError):
+    """A snapshot is malformed or of an unknown format."""
+
+
 class PlatformError(SycamorespoolError):
     """A call to the platform failed."""
 
--- a/src/sycamorespool/records.py
+++ b/src/sycamorespool/records.py
@@ -135,11 +135,13 @@
 class Snapshot(_Record, frozen=True, tag="snapshot"):
     """The replayed state of a stream as of ``as_of``.
 
-    ``as_of`` is the offset of the last record that the state includes.
+    ``as_of`` is the offset of the last record that the state includes;
+    ``at_unix_s`` is when it was written, in seconds of Unix time.
     """
 
     as_of: int
     state: dict[str, t.Any]
+    at_unix_s: float = 0.0
 
 
 Record: t.TypeAlias = (
--- a/tests/decisions/test_replay.py
+++ b/tests/decisions/test_replay.py
@@ -1,5 +1,7 @@
 """Tests of the replay rules."""
 
+import pytest
+
 from sycamorespool.decisions import replay
 from sycamorespool import records
 
@@ -77,3 +79,63 @@
         spare = form("g3", ("v3", "v4"), replaces="g1")
         assert replay.apply(state, 4, spare).is_accepted
         assert set(state.groups) == {"g1", "g3"}
+
+    @pytest.mark.parametrize(
+        "record",
+        [
+            records.GroupDissolved("x", "domain/e", 9, "g1"),
+            records.GroupMemberReplaced("x", "domain/e", 9, "g1", "v1", "v9"),
+            records.GroupMemberReplaced("x", "domain/d", 1, "g1", "v7", "v9"),
+            records.GroupMemberReplaced("x", "domain/d", 1, "g1", "v1", "v2"),
+            form("g2", ("v3", "v3", "v4"), replaces="g1"),
+            form("g2", ("v3",), replaces="g1"),
+            form("g2", ("v3", "v4"), replaces="g0"),
+        ],
+    )
+    def test_rejected_record_changes_nothing(self, record):
+        state = make_state()
+        replay.apply(state, 2, form("g1", ("v1", "v2")))
+        claim = records.OwnershipClaim("c9", "domain/e", "f", 1)
+        replay.apply(state, 9, claim)
+        groups = dict(state.groups)
+        assert replay.apply(state, 10, record).status == "invalid"
+        assert state.groups == groups
+
+    def test_released_epoch_is_rejected(self):
+        state = make_state()
+        replay.apply(state, 2, records.OwnershipRelease("r", "domain/d", 1))
+        assert not replay.apply(state, 3, form("g1", ("v1", "v2"))).is_accepted
+
+    def test_group_has_one_successor(self):
+        state = make_state()
+        replay.apply(state, 2, form("g1", ("v1", "v2")))
+        replay.apply(state, 3, form("g2", ("v3", "v4"), replaces="g1"))
+        third = form("g3", ("v5", "v6"), replaces="g1")
+        assert not replay.apply(state, 4, third).is_accepted
+        chained = form("g4", ("v5", "v6"), replaces="g2")
+        assert replay.apply(state, 5, chained).is_accepted
+        dissolved = records.GroupDissolved("x", "domain/d", 1, "g2")
+        replay.apply(state, 6, dissolved)
+        assert state.groups["g4"].replaces == "g1"
+        assert state.replica_counts["a"] == 1
+
+    @pytest.mark.parametrize(
+        ("patch", "joins"),
+        [
+            ({"a": None}, False),
+            ({"a": {"group_size": 3}}, False),
+            ({"a": {"version": "2"}}, True),
+        ],
+    )
+    def test_groups_outlive_a_change_of_their_service(self, patch, joins):
+        state = make_state()
+        replay.apply(state, 2, form("g1", ("v1", "v2")))
+        change = records.ConfigPatch("p", 1, {"services": patch})
+        assert replay.apply(state, 3, change).is_accepted
+        assert state.groups["g1"].version == "1"
+        joined = records.GroupMemberReplaced(
+            "j", "domain/d", 1, "g1", "v1", "v9"
+        )
+        assert replay.apply(state, 4, joined).is_accepted is joins
+        dissolved = records.GroupDissolved("x", "domain/d", 1, "g1")
+        assert replay.apply(state, 5, dissolved).is_accepted
