--- a/src/sycamorespool/models.py
+++ b/src/sycamorespool/models.py
@@ -105,7 +105,14 @@
     group_id: str
 
 
-Order = JoinOrder | LeaveOrder
+class LoadOrder(msgspec.Struct, frozen=True, tag="load", tag_field="order"):
+    """Order a backend server in no group to load weights in advance."""
+
+    epoch: int
+    weights: str
+
+
+Order = JoinOrder | LeaveOrder | LoadOrder
 
 
 class GrantAsk(msgspec.Struct, frozen=True):
