Measure the relay of streams against a direct connection and a bare relay

Cause: the size of an entry hangs on the cost per relayed chunk, and no figure in the repository stated it.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,42 @@
+"""Run benchmarks by name and keep their results in one JSON file.
+
+``python -m benchmarks relay keys`` runs two of them, no name runs all.
+"""
+
+import importlib
+import pathlib
+import sys
+import typing as t
+
+import msgspec
+
+RESULTS_PATH = pathlib.Path("build/benchmarks.json")
+MODULES = {
+    "relay": "benchmarks.relay",
+}
+
+
+def _load_results() -> dict[str, t.Any]:
+    if not RESULTS_PATH.exists():
+        return {}
+    results: dict[str, t.Any] = msgspec.json.decode(RESULTS_PATH.read_bytes())
+    return results
+
+
+def main(names: list[str]) -> int:
+    """Run the named benchmarks, or all, and write their results."""
+    unknown = sorted(set(names) - set(MODULES))
+    if unknown:
+        print(f"benchmarks: no {unknown}, there are {sorted(MODULES)}")
+        return 2
+    results = _load_results()
+    for name in names or MODULES:
+        results[name] = importlib.import_module(MODULES[name]).run()
+        RESULTS_PATH.parent.mkdir(exist_ok=True)
+        data = msgspec.json.format(msgspec.json.encode(results))
+        RESULTS_PATH.write_bytes(data)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -4,6 +4,7 @@
 import hmac
 
 import msgspec
+import trio
 
 from sycamorespool import asgi
 from sycamorespool.backend_servers import stream
@@ -62,11 +63,16 @@
     )
 
 
+def hash_key(key: str) -> str:
+    """Return the digest of an API key that the configuration holds."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def _find_workspace(
     config: configuration.Configuration, headers: dict[str, str]
 ) -> str:
     scheme, _, key = headers.get("authorization", "").partition(" ")
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hash_key(key)
     found = ""
     # All hashes are compared, so that the time taken tells nothing.
     for name, workspace in config.workspaces.items():
@@ -224,3 +230,8 @@
             await asgi.send_response(send, make_problem(error))
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
             await asgi.send_response(send, make_problem(error))
+
+
+async def serve(env: environment.Environment, stop: trio.Event) -> None:
+    """Serve callers until ``stop`` is set."""
+    await asgi.serve(CallersApp(env), env.settings.listen.callers, stop)
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -70,7 +70,7 @@
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
         logging.info("entry: started name=%s", env.name)
-        await asgi.serve(callers_app.CallersApp(env), listen.callers, stop)
+        await callers_app.serve(env, stop)
         nursery.cancel_scope.cancel()
     env.transport.close()
     logging.info("entry: stopped name=%s", env.name)
