--- /dev/null
+++ b/src/sycamorespool/decisions/retries.py
@@ -0,0 +1,214 @@
+"""What may be done after an attempt failed.
+
+The table says what a cut allows; the budget, the deadline and the circuits
+say whether it is done::
+
+    action = decide(call, cut, budget, now_s)
+
+A call that is not idempotent, keyed or not, is sent again only if nothing
+of it can have run.
+"""
+
+import collections
+import dataclasses
+import enum
+
+MAX_TRIES = 4
+BACKOFF_BASE_S = 0.02
+BACKOFF_CAP_S = 1.0
+BUDGET_RESERVE = 10.0
+BUDGET_WINDOW_S = 60.0
+
+
+class Cut(enum.StrEnum):
+    """Where an attempt was cut."""
+
+    NOT_REACHED = "not_reached"
+    REFUSED = "refused"
+    SENT = "sent"
+    PARTIAL = "partial"
+
+
+class Action(enum.StrEnum):
+    """What follows."""
+
+    RETRY = "retry"
+    RESUME = "resume"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+# A cut after which nothing of the attempt can have run.
+HARMLESS = frozenset({Cut.NOT_REACHED, Cut.REFUSED})
+ALLOWED: dict[tuple[bool, Cut], Action] = {
+    (True, Cut.NOT_REACHED): Action.RETRY,
+    (True, Cut.REFUSED): Action.RETRY,
+    (True, Cut.SENT): Action.RETRY,
+    (True, Cut.PARTIAL): Action.RESUME,
+    (False, Cut.NOT_REACHED): Action.RETRY,
+    (False, Cut.REFUSED): Action.RETRY,
+    (False, Cut.SENT): Action.UNKNOWN,
+    (False, Cut.PARTIAL): Action.UNKNOWN,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class CallTries:
+    """The tries of one call so far.
+
+    Parameters
+    ----------
+    deadline_s : float
+        When the call has to have its final answer.
+    may_have_run : bool
+        Whether any of its tries may have run.
+    """
+
+    is_idempotent: bool
+    deadline_s: float
+    tries: int = 0
+    may_have_run: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class RetryBudget:
+    """Retries that a workspace may still make at this entry.
+
+    Each request adds ``ratio`` of a retry.  What is saved is bounded by
+    the requests of the last one to two minutes, so that a busy workspace
+    can move all it had in a lost data centre, once.
+    """
+
+    saved: float = BUDGET_RESERVE
+    window_began_s: float = 0.0
+    requests: int = 0
+    requests_before: int = 0
+
+
+def count_request(budget: RetryBudget, ratio: float, now_s: float) -> None:
+    """Add the part of a retry that one request brings."""
+    if now_s - budget.window_began_s >= BUDGET_WINDOW_S:
+        budget.window_began_s = now_s
+        budget.requests_before = budget.requests
+        budget.requests = 0
+    budget.requests += 1
+    recent = max(budget.requests, budget.requests_before)
+    limit = BUDGET_RESERVE + ratio * recent
+    budget.saved = min(limit, budget.saved + ratio)
+
+
+def _take_retry(budget: RetryBudget) -> bool:
+    if budget.saved < 1.0:
+        return False
+    budget.saved -= 1.0
+    return True
+
+
+def conclude(call: CallTries) -> Action:
+    """Return the true final answer of a call that gets no further try."""
+    return Action.UNKNOWN if call.may_have_run else Action.NOT_RUN
+
+
+def decide(
+    call: CallTries, cut: Cut, budget: RetryBudget, now_s: float
+) -> Action:
+    """Note a cut and return what follows."""
+    call.tries += 1
+    call.may_have_run = call.may_have_run or cut not in HARMLESS
+    action = ALLOWED[call.is_idempotent, cut]
+    is_exhausted = call.tries >= MAX_TRIES or now_s >= call.deadline_s
+    if action is Action.UNKNOWN or is_exhausted:
+        return conclude(call)
+    return action if _take_retry(budget) else conclude(call)
+
+
+def backoff_s(tries: int, fraction: float) -> float:
+    """Return how long to wait before the next try, with full jitter.
+
+    Parameters
+    ----------
+    fraction : float
+        A random number in 0..1.
+    """
+    longest_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2.0**tries)
+    return longest_s * fraction
+
+
+class Circuit(enum.StrEnum):
+    """Whether a backend server is tried."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class Sign(enum.StrEnum):
+    """What bears on a circuit."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    FAILURES = "failures"
+    TIMEOUT = "timeout"
+
+
+CIRCUITS: dict[tuple[Circuit, Sign], Circuit] = {
+    (Circuit.CLOSED, Sign.FAILURES): Circuit.OPEN,
+    (Circuit.OPEN, Sign.TIMEOUT): Circuit.HALF_OPEN,
+    (Circuit.HALF_OPEN, Sign.SUCCESS): Circuit.CLOSED,
+    (Circuit.HALF_OPEN, Sign.FAILURE): Circuit.OPEN,
+    (Circuit.HALF_OPEN, Sign.FAILURES): Circuit.OPEN,
+}
+FAILURES_TO_OPEN = 3
+OPEN_S = 1.0
+OPEN_CAP_S = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class Breaker:
+    """The circuit of one backend server at this entry."""
+
+    state: Circuit = Circuit.CLOSED
+    failures: int = 0
+    open_until_s: float = 0.0
+
+
+Breakers = collections.defaultdict[str, Breaker]
+
+
+def make_breakers() -> Breakers:
+    """Return closed circuits for all backend servers."""
+    return collections.defaultdict(Breaker)
+
+
+def _move(breaker: Breaker, sign: Sign) -> None:
+    breaker.state = CIRCUITS.get((breaker.state, sign), breaker.state)
+
+
+def note_result(breaker: Breaker, is_success: bool, now_s: float) -> None:
+    """Note how an attempt ended; a refusal for want of room is none."""
+    if is_success:
+        breaker.failures = 0
+        _move(breaker, Sign.SUCCESS)
+        return
+    breaker.failures += 1
+    enough = breaker.failures >= FAILURES_TO_OPEN
+    _move(breaker, Sign.FAILURES if enough else Sign.FAILURE)
+    if breaker.state is Circuit.OPEN:
+        extra = max(0, breaker.failures - FAILURES_TO_OPEN)
+        open_s = min(OPEN_CAP_S, OPEN_S * 2.0 ** min(extra, 8))
+        breaker.open_until_s = now_s + open_s
+
+
+def allows(breaker: Breaker, in_flight: int, now_s: float) -> bool:
+    """Tell whether a new attempt may go to the backend server.
+
+    A half-open circuit lets one attempt through at a time.
+    """
+    if breaker.state is Circuit.OPEN and now_s >= breaker.open_until_s:
+        _move(breaker, Sign.TIMEOUT)
+    limits = {
+        Circuit.CLOSED: True,
+        Circuit.OPEN: False,
+        Circuit.HALF_OPEN: in_flight == 0,
+    }
+    return limits[breaker.state]
