Serve callers by h11 on sockets that write without a scope

Cause: cProfile of the entry (60 streams) showed two cancel scopes, one lock and about ten frames a chunk; half of them in hypercorn's protocol_send and what it calls: a shielded scope, a send lock and trio's checkpoint after each send. None of them can be switched off by hypercorn's settings, and its answer to an over-long head is fixed and empty. Change: an ASGI server on h11, the parser beneath hypercorn, for callers only; the application stays plain ASGI and operators stay on hypercorn. The head leaves with the first chunk, the end with the last. Limits of head, body and idle connections are settings. Ruled out: holding chunks back, as one stream's tokens are 30 ms apart.

--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -36,7 +36,11 @@
 
 
 class CallerGone(Exception):
-    """The caller closed its connection before the request was whole."""
+    """The caller closed its connection before it had its answer."""
+
+
+class AnswerCut(Exception):
+    """A response breaks off; its connection has to be closed."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -7,6 +7,8 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.callers import problems
+from sycamorespool.callers import server
 from sycamorespool import configuration
 from sycamorespool import dispatch
 from sycamorespool import environment
@@ -25,43 +27,6 @@
     stream: bool = False
 
 
-class Problem(msgspec.Struct, omit_defaults=True):
-    """Body of an error answer (RFC 9457)."""
-
-    type: str
-    title: str
-    status: int
-    code: str
-    outcome: str
-    detail: str = ""
-
-
-def make_problem(
-    error: exceptions.NotRun | exceptions.OutcomeUnknown,
-) -> asgi.Response:
-    """Return the error answer that tells whether the request was run."""
-    is_run_excluded = isinstance(error, exceptions.NotRun)
-    outcome = "not run" if is_run_excluded else "outcome unknown"
-    problem = Problem(
-        f"urn:sycamorespool:{error.code}",
-        error.code.replace("_", " "),
-        error.status,
-        error.code,
-        outcome,
-        error.detail,
-    )
-    headers = {}
-    retry_after_s = getattr(error, "retry_after_s", None)
-    if retry_after_s is not None:
-        headers["retry-after"] = str(max(1, round(retry_after_s)))
-    return asgi.Response(
-        error.status,
-        msgspec.json.encode(problem),
-        asgi.PROBLEM_TYPE,
-        headers,
-    )
-
-
 def hash_key(key: str) -> str:
     """Return the digest of an API key that the configuration holds."""
     return hashlib.sha256(key.encode()).hexdigest()
@@ -226,11 +191,22 @@
             error = exceptions.NotRun(
                 "body_too_large", f"the limit is {limit_bytes} bytes", 413
             )
-            await asgi.send_response(send, make_problem(error))
+            await asgi.send_response(send, problems.make_problem(error))
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
-            await asgi.send_response(send, make_problem(error))
+            await asgi.send_response(send, problems.make_problem(error))
 
 
-async def serve(env: environment.Environment, stop: trio.Event) -> None:
+async def serve(
+    env: environment.Environment,
+    stop: trio.Event,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Serve callers until ``stop`` is set."""
-    await asgi.serve(CallersApp(env), env.settings.listen.callers, stop)
+    chosen = env.settings
+    await server.serve(
+        CallersApp(env),
+        chosen.listen.callers,
+        chosen.limits,
+        stop,
+        task_status=task_status,
+    )
--- /dev/null
+++ b/src/sycamorespool/callers/server.py
@@ -0,0 +1,279 @@
+"""An ASGI server for callers, on h11, that is cheap for each chunk.
+
+It speaks HTTP/1.1 only.  An application that runs here also runs under
+hypercorn; this one differs in what a chunk costs, and in that it answers
+an unacceptable head with a problem that names the cause.
+"""
+
+import dataclasses
+import typing as t
+import urllib.parse
+
+from absl import logging
+import h11
+import trio
+
+from sycamorespool import asgi
+from sycamorespool.callers import problems
+from sycamorespool import exceptions
+from sycamorespool import settings
+from sycamorespool import sockets
+
+MAX_PIPELINED_BYTES = 16 * 1024
+LINGER_S = 1.0
+LINGER_BYTES = 4 * 1024 * 1024
+HEAD_ERRORS = {
+    431: ("head_too_large", "the request's head is too long"),
+    501: ("bad_http", "the transfer encoding is not known"),
+}
+BAD_HTTP = ("bad_http", "the request is no acceptable HTTP/1.1")
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    """What the connections share."""
+
+    app: asgi.App
+    limits: settings.LimitsSection
+    idle: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    is_stopping: bool = False
+
+
+class _HeadRefused(Exception):
+    """A request's head is not acceptable."""
+
+    def __init__(self, code: str, detail: str, status: int) -> None:
+        super().__init__(detail)
+        self.error = exceptions.NotRun(code, detail, status)
+
+
+class _Exchange:
+    """One request and its response on a connection.
+
+    ``receive`` and ``send`` are those of ASGI.  A response's head leaves
+    together with the first of its body, the end together with the last.
+    """
+
+    def __init__(
+        self, http: h11.Connection, connection: sockets.Connection
+    ) -> None:
+        self._http = http
+        self._connection = connection
+        self._head: h11.Response | None = None
+        self._is_body_read = False
+        self._pipelined_bytes = 0
+
+    async def receive(self) -> dict[str, t.Any]:
+        """Return the next part of the body, or that the caller is gone."""
+        if self._is_body_read:
+            await self._wait_until_gone()
+            return {"type": "http.disconnect"}
+        try:
+            event = await _next_event(self._http, self._connection)
+        except (OSError, h11.RemoteProtocolError):
+            return {"type": "http.disconnect"}
+        if isinstance(event, h11.Data):
+            return {
+                "type": "http.request",
+                "body": bytes(event.data),
+                "more_body": True,
+            }
+        self._is_body_read = True
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def _wait_until_gone(self) -> None:
+        while True:
+            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
+                await trio.sleep_forever()
+            try:
+                data = await self._connection.receive()
+            except (OSError, trio.ClosedResourceError):
+                return
+            self._http.receive_data(data)
+            self._pipelined_bytes += len(data)
+            if not data:
+                return
+
+    async def send(self, message: dict[str, t.Any]) -> None:
+        """Send a part of the response.
+
+        Raises
+        ------
+        CallerGone
+            If the connection is broken.
+        """
+        if message["type"] == "http.response.start":
+            self._head = h11.Response(
+                status_code=message["status"], headers=message["headers"]
+            )
+            return
+        parts = []
+        if self._head is not None:
+            parts.append(self._http.send(self._head))
+            self._head = None
+        body = message.get("body", b"")
+        if body:
+            parts.append(self._http.send(h11.Data(data=body)))
+        if not message.get("more_body", False):
+            parts.append(self._http.send(h11.EndOfMessage()))
+        try:
+            await self._connection.send(b"".join(parts))
+        except OSError as error:
+            raise asgi.CallerGone from error
+
+
+async def _next_event(
+    http: h11.Connection, connection: sockets.Connection
+) -> t.Any:
+    while True:
+        event = http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await connection.send(http.send(go_on))
+        http.receive_data(await connection.receive())
+
+
+def _make_scope(request: h11.Request) -> asgi.Scope:
+    path, _, query = request.target.partition(b"?")
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.1"},
+        "http_version": request.http_version.decode(),
+        "method": request.method.decode(),
+        "scheme": "http",
+        "path": urllib.parse.unquote(path.decode("ascii")),
+        "raw_path": path,
+        "query_string": query,
+        "root_path": "",
+        "headers": list(request.headers),
+        "extensions": {},
+    }
+
+
+def _check_size(request: h11.Request, limit_bytes: int) -> None:
+    size = len(request.target) + sum(
+        len(name) + len(value) for name, value in request.headers
+    )
+    if size > limit_bytes:
+        raise _HeadRefused(*HEAD_ERRORS[431], 431)
+
+
+async def _read_head(
+    server: _Server, http: h11.Connection, connection: sockets.Connection
+) -> h11.Request | None:
+    limits = server.limits
+    with trio.CancelScope() as idle:
+        idle.deadline = trio.current_time() + limits.keep_alive_timeout_s
+        server.idle.add(idle)
+        try:
+            if not http.trailing_data[0]:
+                http.receive_data(await connection.receive())
+        finally:
+            server.idle.discard(idle)
+    if idle.cancelled_caught:
+        return None
+    event = None
+    try:
+        with trio.move_on_after(limits.head_timeout_s):
+            event = await _next_event(http, connection)
+    except h11.RemoteProtocolError as error:
+        status = error.error_status_hint
+        raise _HeadRefused(
+            *HEAD_ERRORS.get(status, BAD_HTTP), status
+        ) from error
+    if event is None:
+        detail = f"no whole head within {limits.head_timeout_s:g} s"
+        raise _HeadRefused("head_timeout", detail, 408)
+    if not isinstance(event, h11.Request):
+        return None
+    _check_size(event, limits.max_head_bytes)
+    return event
+
+
+async def _serve_one(
+    server: _Server, http: h11.Connection, connection: sockets.Connection
+) -> bool:
+    """Serve one request and tell whether another may follow."""
+    exchange = _Exchange(http, connection)
+    try:
+        request = await _read_head(server, http, connection)
+        if request is None:
+            return False
+        await server.app(_make_scope(request), exchange.receive, exchange.send)
+    except _HeadRefused as refused:
+        response = problems.make_problem(refused.error)
+        await asgi.send_response(exchange.send, response)
+    if http.our_state is h11.DONE and http.their_state is h11.DONE:
+        http.start_next_cycle()
+        return not server.is_stopping
+    if http.our_state in (h11.DONE, h11.MUST_CLOSE):
+        await _linger(connection)
+    return False
+
+
+async def _linger(connection: sockets.Connection) -> None:
+    # Closing with bytes unread would reset the connection and take the
+    # answer away from the caller, so the rest is read and dropped.
+    connection.end_sending()
+    read_bytes = 0
+    with trio.move_on_after(LINGER_S):
+        while read_bytes < LINGER_BYTES:
+            data = await connection.receive()
+            if not data:
+                return
+            read_bytes += len(data)
+
+
+async def _serve_connection(
+    server: _Server, connection: sockets.Connection
+) -> None:
+    http = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
+    )
+    try:
+        while await _serve_one(server, http, connection):
+            pass
+    except (OSError, asgi.AnswerCut, asgi.CallerGone):
+        pass
+    except Exception:
+        logging.exception("callers: request failed")
+    finally:
+        connection.close()
+
+
+async def serve(
+    app: asgi.App,
+    address: str,
+    limits: settings.LimitsSection,
+    stop: trio.Event,
+    grace_s: float = 3.0,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application at ``IP:port`` until ``stop`` is set.
+
+    Open requests get ``grace_s`` seconds to end after that.  The task
+    status is the address that was bound.
+    """
+    server = _Server(app, limits)
+    listener = sockets.Listener(address)
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(_accept, server, listener, nursery)
+            task_status.started(listener.address)
+            await stop.wait()
+            accepting.cancel_scope.cancel()
+        listener.close()
+        server.is_stopping = True
+        for idle in server.idle:
+            idle.cancel()
+        nursery.cancel_scope.deadline = trio.current_time() + grace_s
+
+
+async def _accept(
+    server: _Server, listener: sockets.Listener, nursery: trio.Nursery
+) -> None:
+    while True:
+        connection = await listener.accept()
+        nursery.start_soon(_serve_connection, server, connection)
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -63,10 +63,34 @@
 
 
 class LimitsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Bounds of one entry."""
+    """Bounds of one entry.
+
+    Parameters
+    ----------
+    queue_timeout_s : float
+        Wait for a free place at a backend server.
+    request_timeout_s : float
+        A whole request, from its admission to its last byte.
+    idle_timeout_s : float
+        Silence of a backend server, or of a caller that takes no bytes,
+        in an open request.
+    head_timeout_s, body_timeout_s : float
+        The head and the body of a caller's request, each until whole.
+    keep_alive_timeout_s : float
+        Wait for the next request on a caller's connection.
+    max_head_bytes, max_body_bytes : int
+        Size of a caller's request.
+    drain_timeout_s : float
+        Wait for open requests after the order to stop.
+    """
 
     queue_timeout_s: float = 5.0
-    request_timeout_s: float = 120.0
+    request_timeout_s: float = 600.0
+    idle_timeout_s: float = 30.0
+    head_timeout_s: float = 5.0
+    body_timeout_s: float = 20.0
+    keep_alive_timeout_s: float = 60.0
+    max_head_bytes: int = 32 * 1024
     max_body_bytes: int = 1024 * 1024
     drain_timeout_s: float = 30.0
 
--- /dev/null
+++ b/src/sycamorespool/sockets.py
@@ -0,0 +1,164 @@
+"""TCP connections for streams of many small chunks.
+
+A read waits before it tries and a write tries before it waits, so that a
+chunk costs one pass of the loop; neither sets a timeout of its own::
+
+    connection = await connect("127.0.0.1:8000")
+    await connection.send(b"ping")
+    data = await connection.receive()
+    connection.close()
+"""
+
+import errno
+import os
+import socket
+
+import trio
+
+READ_BYTES = 64 * 1024
+BACKLOG = 1024
+ACCEPT_PAUSE_S = 0.1
+OUT_OF_FILES = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
+
+
+class Connection:
+    """A connected socket that never blocks the loop."""
+
+    __slots__ = ("_socket",)
+
+    def __init__(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = connected
+
+    async def receive(self, max_bytes: int = READ_BYTES) -> bytes:
+        """Return the bytes that come next, none at the end.
+
+        Raises
+        ------
+        OSError
+            If the connection is broken.
+        """
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                return self._socket.recv(max_bytes)
+            except BlockingIOError:
+                continue
+
+    async def send(self, data: bytes) -> None:
+        """Send all of the data, waiting only while the buffer is full.
+
+        Raises
+        ------
+        OSError
+            If the connection is broken.
+        """
+        sent = self._try_send(data)
+        while sent < len(data):
+            await trio.lowlevel.wait_writable(self._socket)
+            sent += self._try_send(memoryview(data)[sent:])
+
+    def _try_send(self, data: bytes | memoryview) -> int:
+        try:
+            return self._socket.send(data)
+        except BlockingIOError:
+            return 0
+
+    def is_quiet(self) -> bool:
+        """Tell whether it is open and nothing is there to be read."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def end_sending(self) -> None:
+        """Tell the peer that nothing more follows."""
+        self._socket.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close it; whoever waits for it gets a ClosedResourceError."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+
+def _split(address: str) -> tuple[socket.AddressFamily, tuple[str, int]]:
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return family, (host, int(port))
+
+
+def _join(host: str, port: int) -> str:
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+async def connect(address: str) -> Connection:
+    """Connect to an ``IP:port``.
+
+    Raises
+    ------
+    OSError
+        If no connection can be made.
+    """
+    family, target = _split(address)
+    connection = Connection(socket.socket(family, socket.SOCK_STREAM))
+    connecting = connection._socket
+    try:
+        code = connecting.connect_ex(target)
+        if code == errno.EINPROGRESS:
+            await trio.lowlevel.wait_writable(connecting)
+            code = connecting.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, os.strerror(code), address)
+    except BaseException:
+        connection.close()
+        raise
+    return connection
+
+
+class Listener:
+    """A socket that listens at an ``IP:port``.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be had.
+    """
+
+    def __init__(self, address: str) -> None:
+        family, target = _split(address)
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(target)
+        self._socket.listen(BACKLOG)
+
+    @property
+    def address(self) -> str:
+        """The address at which it listens."""
+        host, port = self._socket.getsockname()[:2]
+        return _join(host, port)
+
+    async def accept(self) -> Connection:
+        """Return the next connection."""
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                accepted, _ = self._socket.accept()
+                return Connection(accepted)
+            except OSError as error:
+                # Whoever left before it was accepted raises errors too.
+                if error.errno in OUT_OF_FILES:
+                    await trio.sleep(ACCEPT_PAUSE_S)
+
+    def close(self) -> None:
+        """Stop listening."""
+        trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
