--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -45,13 +45,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """One whole HTTP request."""
+    """One whole HTTP request.
+
+    Parameters
+    ----------
+    path : str
+        The path, percent-decoded.
+    target : str
+        The path and the query as they were sent.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,8 +84,14 @@
         name.decode("latin-1"): value.decode("latin-1")
         for name, value in scope["headers"]
     }
-    query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
-    return Request(scope["method"], scope["path"], query, headers, body)
+    query_string = scope["query_string"].decode("latin-1")
+    query = dict(urllib.parse.parse_qsl(query_string))
+    target = scope["raw_path"].decode("latin-1")
+    if query_string:
+        target = f"{target}?{query_string}"
+    return Request(
+        scope["method"], scope["path"], query, headers, body, target
+    )
 
 
 async def read_body(receive: Receive, limit_bytes: int) -> bytes:
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -2,7 +2,10 @@
 
 import hashlib
 import hmac
+import re
+import typing as t
 
+from absl import logging
 import msgspec
 import trio
 
@@ -13,17 +16,22 @@
 from sycamorespool import dispatch
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import relay
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 SERVICES_PREFIX = "/services/"
+MODELS_PATH = "/v1/models"
+HEALTH_PATHS = ("/healthz", "/readyz")
 DEFAULT_PRIORITY = "normal"
+REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+REPEATABLE_METHODS = frozenset(("GET", "HEAD"))
 
 
 class Completion(msgspec.Struct):
     """What the system reads of a completion request."""
 
     model: str
-    messages: list[dict[str, object]]
+    messages: t.Annotated[list[dict[str, object]], msgspec.Meta(min_length=1)]
     stream: bool = False
 
 
@@ -62,8 +70,10 @@
 def _decode_completion(body: bytes) -> Completion:
     try:
         return msgspec.json.decode(body, type=Completion)
-    except msgspec.DecodeError as error:
+    except msgspec.ValidationError as error:
         raise exceptions.NotRun("bad_request", str(error), 400) from error
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise exceptions.NotRun("bad_json", str(error), 400) from error
 
 
 def _find_service(
@@ -77,17 +87,38 @@
     return service
 
 
+def _matches(route: configuration.Route, method: str, path: str) -> bool:
+    prefix = f"{route.path.rstrip('/')}/"
+    is_path = path == route.path or path.startswith(prefix)
+    return is_path and method == route.method
+
+
 def _is_idempotent(
     service: configuration.Service, method: str, path: str
 ) -> bool:
-    for route in service.routes:
-        if route.method == method and path.startswith(route.path):
-            return route.idempotent
-    return method == "GET"
+    routes = [r for r in service.routes if _matches(r, method, path)]
+    if not routes:
+        return method in REPEATABLE_METHODS
+    return max(routes, key=lambda route: len(route.path)).idempotent
+
+
+def _split_service(path: str) -> tuple[str, str]:
+    service, _, rest = path[len(SERVICES_PREFIX) :].partition("/")
+    if ".." in rest.split("/"):
+        raise exceptions.NotRun("bad_path", "the path has a '..'", 400)
+    return service, f"/{rest}"
+
+
+def find_request_id(request: asgi.Request) -> str:
+    """Return the caller's id of a request, or a new one."""
+    given = request.headers.get(relay.REQUEST_ID_HEADER, "")
+    return given if REQUEST_ID.fullmatch(given) else environment.make_id()
 
 
 def make_call(
-    config: configuration.Configuration, request: asgi.Request
+    config: configuration.Configuration,
+    request: asgi.Request,
+    request_id: str,
 ) -> dispatch.Call:
     """Turn a caller's request into a call.
 
@@ -98,54 +129,59 @@
     """
     workspace = _find_workspace(config, request.headers)
     priority = _find_priority(request.headers)
-    request_id = request.headers.get("x-request-id", environment.make_id())
-    if request.path == COMPLETIONS_PATH and request.method == "POST":
+    is_stream = False
+    is_completion = request.path == COMPLETIONS_PATH
+    if is_completion and request.method == "POST":
         completion = _decode_completion(request.body)
         _find_service(config, completion.model, "model")
-        service, path, is_idempotent = completion.model, request.path, True
+        service, target, is_idempotent = completion.model, request.path, True
+        is_stream = completion.stream
     elif request.path.startswith(SERVICES_PREFIX):
-        service, _, rest = request.path[len(SERVICES_PREFIX) :].partition("/")
-        path = f"/{rest}"
+        service, path = _split_service(request.path)
         plain = _find_service(config, service, "plain")
         is_idempotent = _is_idempotent(plain, request.method, path)
+        target = _split_service(request.target)[1]
     else:
-        raise exceptions.NotRun("not_found", f"no {request.path}", 404)
+        raise exceptions.NotRun(
+            "not_found", f"no {request.method} {request.path}", 404
+        )
     return dispatch.Call(
         request_id,
         workspace,
         priority,
         service,
         request.method,
-        path,
+        target,
         request.body,
         request.headers.get("content-type", asgi.JSON_TYPE),
         is_idempotent,
+        is_completion,
+        is_stream,
     )
 
 
-async def _relay(answer: dispatch.Answer, send: asgi.Send) -> None:
-    content_type = answer.headers.get("content-type", asgi.JSON_TYPE)
-    is_stream = content_type == "text/event-stream"
-    await send(
-        {
-            "type": "http.response.start",
-            "status": answer.status,
-            "headers": asgi.encode_headers(content_type, {}),
-        }
-    )
-    tail = b""
-    async for chunk in answer.chunks:
-        tail = (tail + chunk)[-64:]
-        await send(
-            {
-                "type": "http.response.body",
-                "body": chunk,
-                "more_body": True,
-            }
-        )
-    if is_stream and dispatch.STREAM_END not in tail:
-        raise exceptions.BackendCut("the stream has no last event")
-    await send({"type": "http.response.body", "body": b""})
+def list_models(config: configuration.Configuration) -> asgi.Response:
+    """Return the model services, as clients of model servers want them."""
+    models = [
+        {"id": name, "object": "model", "owned_by": "sycamorespool"}
+        for name, service in sorted(config.services.items())
+        if service.kind == "model"
+    ]
+    return asgi.answer_json({"object": "list", "data": models})
+
+
+def _check_length(request: asgi.Request, limit_bytes: int) -> None:
+    length = request.headers.get("content-length", "0")
+    if int(length) > limit_bytes:
+        raise asgi.BodyTooLarge
+
+
+async def _cancel_when_gone(
+    receive: asgi.Receive, scope: trio.CancelScope
+) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
 
 
 class CallersApp:
@@ -161,8 +197,9 @@
         if scope["type"] == "lifespan":
             await asgi.handle_lifespan(receive, send)
             return
-        if scope["path"] == "/readyz":
-            status = 200 if self._env.is_ready else 503
+        if scope["path"] in HEALTH_PATHS:
+            is_ok = scope["path"] == "/healthz" or self._env.is_ready
+            status = 200 if is_ok else 503
             await asgi.send_response(send, asgi.Response(status))
             return
         self._env.requests_open += 1
@@ -174,26 +211,88 @@
     async def _serve(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        limit_bytes = self._env.settings.limits.max_body_bytes
+        head = asgi.read_head(scope)
+        passed = relay.Relay(send, find_request_id(head))
         try:
             if not self._env.is_ready:
                 raise exceptions.NotRun(
                     "not_ready", "entry is not ready", retry_after_s=1.0
                 )
-            body = await asgi.read_body(receive, limit_bytes)
+            body = await self._read_body(head, receive)
             request = asgi.read_head(scope, body)
-            call = make_call(self._env.fleet.config, request)
-            async with dispatch.open_call(self._env, call) as answer:
-                await _relay(answer, send)
+            if (request.method, request.path) == ("GET", MODELS_PATH):
+                config = self._env.fleet.config
+                _find_workspace(config, request.headers)
+                await passed.answer(list_models(config))
+                return
+            await self._run(request, receive, passed)
         except asgi.CallerGone:
             return
-        except asgi.BodyTooLarge:
-            error = exceptions.NotRun(
-                "body_too_large", f"the limit is {limit_bytes} bytes", 413
-            )
-            await asgi.send_response(send, problems.make_problem(error))
+        except exceptions.CallerStalled as error:
+            raise asgi.AnswerCut from error
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
-            await asgi.send_response(send, problems.make_problem(error))
+            await self._refuse(error, passed)
+
+    async def _read_body(
+        self, head: asgi.Request, receive: asgi.Receive
+    ) -> bytes:
+        limits = self._env.settings.limits
+        try:
+            _check_length(head, limits.max_body_bytes)
+            with trio.fail_after(limits.body_timeout_s):
+                return await asgi.read_body(receive, limits.max_body_bytes)
+        except asgi.BodyTooLarge as error:
+            detail = f"the limit is {limits.max_body_bytes} bytes"
+            raise exceptions.NotRun("body_too_large", detail, 413) from error
+        except trio.TooSlowError as error:
+            detail = f"no whole body within {limits.body_timeout_s:g} s"
+            raise exceptions.NotRun("body_timeout", detail, 408) from error
+
+    async def _run(
+        self,
+        request: asgi.Request,
+        receive: asgi.Receive,
+        passed: relay.Relay,
+    ) -> None:
+        config = self._env.fleet.config
+        call = make_call(config, request, passed.request_id)
+        if not call.is_idempotent:
+            # It runs to its end even if the caller leaves, so that its
+            # outcome does not become unknown by that.
+            await dispatch.run_call(self._env, call, passed)
+            return
+        failure: exceptions.RequestError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _cancel_when_gone, receive, nursery.cancel_scope
+            )
+            try:
+                await dispatch.run_call(self._env, call, passed)
+            except exceptions.RequestError as error:
+                failure = error
+            except asgi.CallerGone:
+                pass
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _refuse(
+        self,
+        error: exceptions.NotRun | exceptions.OutcomeUnknown,
+        passed: relay.Relay,
+    ) -> None:
+        if not passed.is_begun:
+            await passed.answer(problems.make_problem(error))
+            return
+        logging.warning(
+            "callers: answer cut request=%s code=%s events=%d",
+            passed.request_id,
+            error.code,
+            passed.events.count,
+        )
+        problem = msgspec.json.encode(problems.describe(error))
+        await passed.send_last_error(problem)
+        raise asgi.AnswerCut from error
 
 
 async def serve(
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import typing as t
 
 import trio
 
@@ -11,13 +10,12 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
+from sycamorespool import relay
 
 RETRY_AFTER_S = 1.0
 PLACE_POLL_S = 0.02
 MAX_ATTEMPTS = 4
-
-Answer: t.TypeAlias = stream.BackendAnswer
-STREAM_END = stream.DONE
+SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +28,8 @@
         The service that it is for.
     is_idempotent : bool
         Whether it may be run again.
+    is_completion, is_stream : bool
+        Whether a model's completion is wanted, and as a stream of events.
     """
 
     request_id: str
@@ -41,6 +41,8 @@
     body: bytes
     content_type: str
     is_idempotent: bool
+    is_completion: bool = False
+    is_stream: bool = False
 
 
 async def _take_place(
@@ -67,67 +69,115 @@
 
 @contextlib.asynccontextmanager
 async def _attempt(
-    env: environment.Environment, call: Call, grant: models.Grant
+    env: environment.Environment,
+    call: Call,
+    grant: models.Grant,
+    from_token: int,
+    end_s: float,
 ) -> collections.abc.AsyncIterator[stream.BackendAnswer]:
     headers = {
         "content-type": call.content_type,
-        "x-attempt-id": environment.make_id(),
         "x-request-id": call.request_id,
         "x-priority": call.priority,
     }
+    if from_token:
+        headers[relay.RESUME_HEADER] = str(from_token)
+    outgoing = stream.Outgoing(
+        grant.address,
+        call.method,
+        call.path,
+        headers,
+        call.body,
+        environment.make_id(),
+        may_reuse=call.is_idempotent,
+    )
+    idle_s = env.settings.limits.idle_timeout_s
     env.held.in_flight[grant.group_id] += 1
     try:
         async with stream.open_request(
-            env.pool,
-            grant.address,
-            call.method,
-            call.path,
-            call.body,
-            headers,
-            env.settings.limits.request_timeout_s,
+            env.links, outgoing, idle_s, end_s
         ) as answer:
             yield answer
     finally:
         env.held.in_flight[grant.group_id] -= 1
 
 
-@contextlib.asynccontextmanager
-async def open_call(
-    env: environment.Environment, call: Call
-) -> collections.abc.AsyncIterator[stream.BackendAnswer]:
-    """Run a call on a replica and give its answer while it is open.
+async def _copy(
+    call: Call, answer: stream.BackendAnswer, passed: relay.Relay
+) -> None:
+    if call.is_completion and answer.status >= SERVER_ERROR:
+        raise exceptions.BackendCut(f"the engine failed: {answer.status}")
+    if call.is_stream and answer.status < 300:
+        await passed.copy_events(answer)
+    elif passed.is_begun:
+        raise exceptions.BackendCut(f"not resumed: {answer.status}")
+    else:
+        await passed.copy_whole(answer, call.is_completion)
+
+
+@dataclasses.dataclass(slots=True)
+class _Tries:
+    """The attempts made at one call."""
+
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+
+    def fail(self, error: Exception) -> exceptions.RequestError:
+        """Return what the caller is told if no attempt follows."""
+        if self.may_have_run:
+            return exceptions.OutcomeUnknown(
+                "answer_lost", "the answer of the replica was lost"
+            )
+        if isinstance(error, exceptions.NotRun):
+            return error
+        return exceptions.NotRun(
+            "backends_refused",
+            "no replica took the request",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
+def _may_go_on(call: Call, passed: relay.Relay, tries: _Tries) -> bool:
+    is_resumable = call.is_stream or not passed.is_begun
+    may_repeat = call.is_idempotent or not tries.may_have_run
+    is_left = len(tries.excluded) < MAX_ATTEMPTS
+    return is_resumable and may_repeat and is_left
+
+
+async def run_call(
+    env: environment.Environment, call: Call, passed: relay.Relay
+) -> None:
+    """Run a call on a replica and pass its answer on.
+
+    A stream that is cut goes on at another replica, from the token that
+    was reached.
 
     Raises
     ------
     NotRun
         If no replica ran it.
     OutcomeUnknown
-        If a replica may have run it.
+        If a replica may have run it, or ``passed`` is begun and its rest
+        cannot be had.
+    CallerStalled
+        If the caller did not take its answer.
     """
-    excluded: set[str] = set()
-    async with contextlib.AsyncExitStack() as stack:
-        answer = None
-        while answer is None:
-            grant = await _take_place(env, call, excluded)
-            try:
-                answer = await stack.enter_async_context(
-                    _attempt(env, call, grant)
-                )
-            except (
-                exceptions.BackendNotReached,
-                exceptions.BackendRefused,
-            ) as error:
-                excluded.add(grant.group_id)
-                if len(excluded) >= MAX_ATTEMPTS:
-                    raise exceptions.NotRun(
-                        "backends_refused",
-                        "no replica took the request",
-                        retry_after_s=RETRY_AFTER_S,
-                    ) from error
-            except exceptions.BackendCut as error:
-                excluded.add(grant.group_id)
-                if not call.is_idempotent or len(excluded) >= MAX_ATTEMPTS:
-                    raise exceptions.OutcomeUnknown(
-                        "answer_lost", "the answer of the replica was lost"
-                    ) from error
-        yield answer
+    limits = env.settings.limits
+    end_s = trio.current_time() + limits.request_timeout_s
+    tries = _Tries()
+    while True:
+        try:
+            grant = await _take_place(env, call, tries.excluded)
+        except exceptions.NotRun as error:
+            raise tries.fail(error) from error
+        from_token = passed.events.count
+        try:
+            async with _attempt(env, call, grant, from_token, end_s) as answer:
+                await _copy(call, answer, passed)
+            return
+        except exceptions.BackendError as error:
+            tries.excluded.add(grant.group_id)
+            tries.may_have_run |= isinstance(error, exceptions.BackendCut)
+            is_late = trio.current_time() >= end_s
+            if is_late or not _may_go_on(call, passed, tries):
+                raise tries.fail(error) from error
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import replay
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
@@ -34,6 +35,8 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    links : stream.Links
+        The idle connections to backend servers.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -51,6 +54,7 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
+    links: stream.Links = dataclasses.field(default_factory=stream.Links)
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -23,6 +23,7 @@
     +-- RequestError
     |   +-- NotRun
     |   +-- OutcomeUnknown
+    |   +-- CallerStalled
     +-- InvariantViolation
 """
 
@@ -199,6 +200,10 @@
         self.status = 502
 
 
+class CallerStalled(RequestError):
+    """The caller did not take the bytes of its answer in time."""
+
+
 class InvariantViolation(SycamorespoolError):
     """A promise of the system does not hold.
 
--- a/src/sycamorespool/standins/engine.py
+++ b/src/sycamorespool/standins/engine.py
@@ -208,11 +208,34 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_at, fallen.wait, nursery)
                 nursery.start_soon(_cancel_when_gone, receive, nursery)
-                await self._stream(request, send)
+                if msgspec.json.decode(request.body).get("stream"):
+                    await self._stream(request, send)
+                else:
+                    await self._answer_whole(request, send)
                 nursery.cancel_scope.cancel()
         finally:
             self.in_flight -= 1
 
+    async def _answer_whole(
+        self, request: asgi.Request, send: asgi.Send
+    ) -> None:
+        body = msgspec.json.decode(request.body)
+        prompt = "".join(m["content"] for m in body["messages"])
+        count = int(body.get("max_tokens", 16))
+        await trio.sleep(self._interval_s() * count)
+        content = "".join(make_token(prompt, i) for i in range(count))
+        message = {"role": "assistant", "content": content}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        attempt = request.headers.get("x-attempt-id", "")
+        whole = {"object": "chat.completion", "choices": [choice]}
+        self.completed += 1
+        response = asgi.Response(
+            200,
+            msgspec.json.encode(whole),
+            headers={"x-attempt-id": attempt},
+        )
+        await asgi.send_response(send, response)
+
     async def _stream(self, request: asgi.Request, send: asgi.Send) -> None:
         body = msgspec.json.decode(request.body)
         prompt = "".join(m["content"] for m in body["messages"])
@@ -221,7 +244,8 @@
         if self.faults.answer_crossed:
             attempt = f"{attempt}-crossed"
         headers = asgi.encode_headers(
-            "text/event-stream", {"x-attempt-id": attempt}
+            "text/event-stream",
+            {"x-attempt-id": attempt, "x-resume-from-token": str(start)},
         )
         await send(
             {
