Measure requests, queue waits and signs of decline in the entry

Cause: the table of metrics had no values. Ruled out: timing each chunk (work a token); one time a stream is kept. Before: /status had no metrics.

--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -2,8 +2,10 @@
 
 import hashlib
 import hmac
+import typing as t
 
 import msgspec
+import trio
 
 from sycamorespool import asgi
 from sycamorespool import configuration
@@ -152,7 +154,15 @@
     )
 
 
-async def _relay(answer: dispatch.Answer, send: asgi.Send) -> None:
+class Relayed(t.NamedTuple):
+    """When an answer was passed on, in s, and in how many chunks."""
+
+    first_s: float
+    last_s: float
+    chunks: int
+
+
+async def _relay(answer: dispatch.Answer, send: asgi.Send) -> Relayed:
     content_type = answer.headers.get("content-type", asgi.JSON_TYPE)
     is_stream = content_type == "text/event-stream"
     await send(
@@ -163,7 +173,11 @@
         }
     )
     tail = b""
+    first_s = 0.0
+    chunks = 0
     async for chunk in answer.chunks:
+        first_s = first_s or trio.current_time()
+        chunks += 1
         tail = (tail + chunk)[-64:]
         await send(
             {
@@ -175,6 +189,7 @@
     if is_stream and dispatch.STREAM_END not in tail:
         raise exceptions.BackendCut("the stream has no last event")
     await send({"type": "http.response.body", "body": b""})
+    return Relayed(first_s, trio.current_time(), chunks)
 
 
 class CallersApp:
@@ -204,6 +219,7 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         limit_bytes = self._env.settings.limits.max_body_bytes
+        started_s = trio.current_time()
         try:
             if not self._env.is_ready:
                 raise exceptions.NotRun(
@@ -213,7 +229,8 @@
             request = asgi.read_head(scope, body)
             call = make_call(self._env.fleet.config, request)
             async with dispatch.open_call(self._env, call) as answer:
-                await _relay(answer, send)
+                relayed = await _relay(answer, send)
+                self._count_served(call, started_s, relayed)
         except asgi.CallerGone:
             return
         except asgi.BodyTooLarge:
@@ -221,5 +238,20 @@
                 "body_too_large", f"the limit is {limit_bytes} bytes", 413
             )
             await asgi.send_response(send, make_problem(error))
-        except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
+        except exceptions.NotRun as error:
+            self._env.metrics.count("requests_not_run", error.code)
             await asgi.send_response(send, make_problem(error))
+        except exceptions.OutcomeUnknown as error:
+            self._env.metrics.count("requests_outcome_unknown", error.code)
+            await asgi.send_response(send, make_problem(error))
+
+    def _count_served(
+        self, call: dispatch.Call, started_s: float, relayed: Relayed
+    ) -> None:
+        metrics = self._env.metrics
+        labels = (call.workspace, call.priority)
+        metrics.count("requests_served", *labels)
+        if relayed.chunks:
+            first_token_s = relayed.first_s - started_s
+            metrics.observe("first_token_s", first_token_s, *labels)
+        metrics.observe_stream(*relayed, *labels)
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -10,7 +10,9 @@
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import fleet
+from sycamorespool import gauges
 from sycamorespool import grant_user
+from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
 from sycamorespool import settings
@@ -57,6 +59,8 @@
     own = owner.Owner(env)
     stop = trio.Event()
     listen = chosen.listen
+    statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
+    metrics.count_violations(env.metrics)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, env, stop)
         nursery.start_soon(fleet.follow_log, env)
@@ -64,6 +68,9 @@
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
         nursery.start_soon(grant_user.ask_for_grants, env, own)
+        nursery.start_soon(
+            metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
+        )
         await nursery.start(
             transport.serve, listen.peers, _make_peer_handler(env, own)
         )
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -46,13 +46,20 @@
 async def _take_place(
     env: environment.Environment, call: Call, excluded: set[str]
 ) -> models.Grant:
-    deadline_s = trio.current_time() + env.settings.limits.queue_timeout_s
+    started_s = trio.current_time()
+    deadline_s = started_s + env.settings.limits.queue_timeout_s
     env.held.waiting[call.service] += 1
     try:
         while True:
             now_s = trio.current_time()
             grant = env.held.find(call.service, now_s, excluded)
             if grant is not None:
+                env.metrics.observe(
+                    "queue_wait_s",
+                    now_s - started_s,
+                    call.workspace,
+                    call.priority,
+                )
                 return grant
             if now_s > deadline_s:
                 raise exceptions.NotRun(
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -11,6 +11,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
 from sycamorespool import settings
@@ -34,6 +35,8 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    metrics : metrics.Metrics
+        Counters, gauges and histograms of this entry.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -51,6 +54,10 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
+    # Quoted, as the field hides the module once it has its default.
+    metrics: "metrics.Metrics" = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/src/sycamorespool/fleet.py
+++ b/src/sycamorespool/fleet.py
@@ -26,6 +26,7 @@
             )
         except exceptions.PlatformError as error:
             logging.warning("log: read failed error=%s", error)
+            env.metrics.count("log_reads_failed")
             await trio.sleep(LOG_RETRY_S)
             continue
         for entry in page.entries:
--- /dev/null
+++ b/src/sycamorespool/gauges.py
@@ -0,0 +1,92 @@
+"""Reads the gauges of an entry from its state."""
+
+import dataclasses
+
+from sycamorespool.decisions import decline
+from sycamorespool import environment
+from sycamorespool import models
+from sycamorespool import owner
+
+
+@dataclasses.dataclass(slots=True)
+class Gauges:
+    """Updates the gauges of one entry.
+
+    Calling it with the monotonic time, in s, sets them all.
+    """
+
+    env: environment.Environment
+    own: owner.Owner
+    state: decline.DeclineState = dataclasses.field(
+        default_factory=decline.DeclineState
+    )
+
+    def __call__(self, now_s: float) -> None:
+        """Set all gauges for the present time."""
+        self._set_entry(now_s)
+        self._set_ownership()
+        self._set_decline(now_s)
+
+    def _set_entry(self, now_s: float) -> None:
+        env = self.env
+        values = {
+            "requests_open": env.requests_open,
+            "requests_queued": sum(env.held.waiting.values()),
+            "config_version": env.fleet.version,
+            "entries_live": len(env.entries()),
+        }
+        for name, value in values.items():
+            env.metrics.set(name, value)
+        if env.log_read_s > float("-inf"):
+            env.metrics.set("log_lag_s", now_s - env.log_read_s)
+
+    def _set_ownership(self) -> None:
+        env = self.env
+        live = env.entries()
+        records = {
+            unit: env.fleet.owners.get(unit)
+            for unit in (f"domain/{domain}" for domain in env.domains())
+        }
+        unowned = [
+            unit
+            for unit, record in records.items()
+            if record is None or record.entry not in live
+        ]
+        owned = [unit for unit in env.fleet.owners if self.own.owns(unit)]
+        env.metrics.set("units_owned", len(owned))
+        env.metrics.set("units_unowned", len(unowned))
+
+    def _list_vms(self) -> dict[str, models.Vm]:
+        env = self.env
+        return {
+            name: vm
+            for domain in env.domains()
+            if self.own.owns(f"domain/{domain}")
+            for name, vm in env.backends(domain).items()
+        }
+
+    def _set_decline(self, now_s: float) -> None:
+        env = self.env
+        groups = {
+            group.group_id
+            for group in env.fleet.groups.values()
+            if self.own.owns(group.unit)
+        }
+        signs = decline.find_signs(
+            self.state,
+            env.fleet,
+            self._list_vms(),
+            groups,
+            {g for g in groups if self.own.is_whole(g, now_s)},
+            {g.group_id for g, _ in env.held.grants.values() if not g.warm},
+            now_s,
+        )
+        env.metrics.set("vms_stranded", signs.vms_stranded)
+        env.metrics.set("vm_stranded_age_max_s", signs.vm_stranded_age_max_s)
+        env.metrics.set("ramp_stuck_age_max_s", signs.ramp_stuck_age_max_s)
+        for name, service in env.fleet.config.services.items():
+            serving = signs.groups_serving.get(name, 0)
+            age_s = signs.below_capacity_age_s.get(name, 0.0)
+            env.metrics.set("groups_wanted", service.replicas, name)
+            env.metrics.set("groups_serving", serving, name)
+            env.metrics.set("below_capacity_age_s", age_s, name)
--- a/src/sycamorespool/operators/api.py
+++ b/src/sycamorespool/operators/api.py
@@ -72,6 +72,8 @@
         "owners": {
             unit: record.entry for unit, record in env.fleet.owners.items()
         },
+        "entries": sorted(env.entries()),
+        "metrics": env.metrics.describe(),
     }
 
 
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -98,6 +98,7 @@
             await env.log.append(records.FLEET_STREAM, batch)
         except exceptions.PlatformError as error:
             logging.warning("groups: append failed unit=%s %s", unit, error)
+            env.metrics.count("log_appends_failed")
     async with trio.open_nursery() as nursery:
         for group in env.fleet.groups.values():
             if group.unit == unit:
@@ -173,6 +174,7 @@
         await control.send_order(env.pool, env.vms[vm].address, order)
     except exceptions.BackendError as error:
         logging.warning("groups: order failed vm=%s error=%s", vm, error)
+        env.metrics.count("orders_failed")
 
 
 def grant(owner: Owner, ask: models.GrantAsk) -> models.GrantAnswer | None:
