--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -5,6 +5,7 @@
 
     SycamorespoolError
     +-- SettingsError
+    |   +-- SettingsFaults
     +-- ConfigurationError
     |   +-- PatchConflict
     +-- PlatformError
@@ -47,6 +48,21 @@
         self.problem = problem
 
 
+class SettingsFaults(SettingsError):
+    """A settings file has several faults.
+
+    Parameters
+    ----------
+    faults : tuple of SettingsError
+        All of them.
+    """
+
+    def __init__(self, faults: tuple[SettingsError, ...]) -> None:
+        problem = "".join(f"\n  {fault}" for fault in faults)
+        super().__init__("file", f"{len(faults)} faults", problem)
+        self.faults = faults
+
+
 class ConfigurationError(SycamorespoolError):
     """A patch yields a configuration that is not valid."""
 
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -1,6 +1,14 @@
-"""Settings of one process, read from an INI file and validated."""
+"""Settings of one process, read from an INI file and validated.
+
+All faults of a file are reported at once, each with its section, its key
+and what is accepted::
+
+    [limits] queue_timeout_s: '500ms' is not accepted; wanted a number of
+    seconds, as 2.5
+"""
 
 import configparser
+import difflib
 import ipaddress
 import pathlib
 import typing as t
@@ -9,21 +17,55 @@
 
 from sycamorespool import exceptions
 
+MAX_SECONDS = 86400.0
+
+Name: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$",
+        description="letters, digits, '-', '_' and '.', as entry-1",
+    ),
+]
+Address: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1,
+        description="an IP number and port, as 10.0.0.7:8000 or [::1]:8000",
+    ),
+]
+OptionalAddress: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(description="nothing, or an IP number and port"),
+]
+Secret: t.TypeAlias = t.Annotated[
+    str, msgspec.Meta(min_length=8, description="at least 8 characters")
+]
+Seconds: t.TypeAlias = t.Annotated[
+    float,
+    msgspec.Meta(
+        ge=0.0, le=MAX_SECONDS, description="a number of seconds, as 2.5"
+    ),
+]
+Bytes: t.TypeAlias = t.Annotated[
+    int,
+    msgspec.Meta(gt=0, description="a whole number of bytes, as 1048576"),
+]
+
 
 class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Who the entry is and where it stands."""
 
-    name: str
-    data_centre: str
-    region: str = "default"
+    name: Name
+    data_centre: Name
+    region: Name = "default"
 
 
 class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Addresses, as ``IP:port``, at which the entry listens."""
 
-    callers: str
-    operators: str
-    peers: str
+    callers: Address
+    operators: Address
+    peers: Address
 
 
 class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -37,14 +79,14 @@
         Bound on the lag of reads behind acknowledged appends.
     """
 
-    address: str
-    log_read_lag_s: float = 0.0
+    address: Address
+    log_read_lag_s: Seconds = 0.0
 
 
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The protocol between entries."""
 
-    shared_key: str
+    shared_key: Secret
 
 
 class OperatorsSection(
@@ -52,23 +94,23 @@
 ):
     """The operators' API."""
 
-    key: str
+    key: Secret
 
 
 class StatsdSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where metrics go; no address means nowhere."""
 
-    address: str = ""
-    prefix: str = "sycamorespool"
+    address: OptionalAddress = ""
+    prefix: Name = "sycamorespool"
 
 
 class LimitsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds of one entry."""
 
-    queue_timeout_s: float = 5.0
-    request_timeout_s: float = 120.0
-    max_body_bytes: int = 1024 * 1024
-    drain_timeout_s: float = 30.0
+    queue_timeout_s: Seconds = 5.0
+    request_timeout_s: Seconds = 120.0
+    max_body_bytes: Bytes = 1024 * 1024
+    drain_timeout_s: Seconds = 30.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -83,34 +125,109 @@
     limits: LimitsSection = LimitsSection()
 
 
-_ADDRESSES = (
-    ("listen", "callers"),
-    ("listen", "operators"),
-    ("listen", "peers"),
-    ("platform", "address"),
-)
+_Sections: t.TypeAlias = dict[str, dict[str, str]]
+_Faults: t.TypeAlias = list[exceptions.SettingsError]
+
+
+def _hint(word: str, known: t.Iterable[str]) -> str:
+    near = difflib.get_close_matches(word, known, n=1)
+    hint = f"did you mean {near[0]}? " if near else ""
+    return f"{hint}accepted: {', '.join(known)}"
+
 
+def _describe(kind: t.Any) -> str:
+    notes = [
+        note.description
+        for note in getattr(kind, "__metadata__", ())
+        if isinstance(note, msgspec.Meta) and note.description
+    ]
+    return notes[0] if notes else str(kind)
 
-def _check_address(section: str, key: str, value: str) -> None:
+
+def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-        is_port = 0 < int(port) < 65536
+        number = ipaddress.ip_address(host.strip("[]"))
+        is_bracketed = host.startswith("[") and host.endswith("]")
+        return is_bracketed == (number.version == 6) and 0 < int(port) < 65536
     except ValueError:
-        is_port = False
-    if not is_port:
-        raise exceptions.SettingsError(
-            section, key, f"{value!r} is not an IP number and port (IP:port)"
-        )
+        return False
 
 
-def _convert(sections: dict[str, dict[str, str]]) -> Settings:
+def _is_accepted(value: str, kind: t.Any) -> bool:
     try:
-        return msgspec.convert(sections, Settings, strict=False)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$.")
-        section, _, key = path.rstrip("`").partition(".")
-        raise exceptions.SettingsError(section, key, text) from error
+        msgspec.convert(value, kind, strict=False)
+    except msgspec.ValidationError:
+        return False
+    is_optional = kind is OptionalAddress
+    if kind is Address or (is_optional and value):
+        return _is_address(value)
+    return True
+
+
+def _find_value_fault(
+    section: str, key: str, value: str, kind: t.Any
+) -> _Faults:
+    if _is_accepted(value, kind):
+        return []
+    shown = "this value" if kind is Secret else repr(value)
+    problem = f"{shown} is not accepted; wanted {_describe(kind)}"
+    return [exceptions.SettingsError(section, key, problem)]
+
+
+def _find_section_faults(
+    name: str, model: type[msgspec.Struct], values: dict[str, str]
+) -> _Faults:
+    kinds = t.get_type_hints(model, include_extras=True)
+    needed = {f.name for f in msgspec.structs.fields(model) if f.required}
+    faults = [
+        exceptions.SettingsError(
+            name, key, f"missing; wanted {_describe(kinds[key])}"
+        )
+        for key in kinds
+        if key in needed and key not in values
+    ]
+    for key, value in values.items():
+        if key in kinds:
+            faults += _find_value_fault(name, key, value, kinds[key])
+        else:
+            problem = f"unknown key; {_hint(key, kinds)}"
+            faults.append(exceptions.SettingsError(name, key, problem))
+    return faults
+
+
+def _find_shared_addresses(listen: dict[str, str]) -> _Faults:
+    first: dict[str, str] = {}
+    faults = []
+    for key, value in listen.items():
+        other = first.setdefault(value, key)
+        if other != key:
+            problem = f"{value!r} is the address of {other} too"
+            faults.append(exceptions.SettingsError("listen", key, problem))
+    return faults
+
+
+def _find_faults(sections: _Sections) -> _Faults:
+    models = t.get_type_hints(Settings)
+    faults = [
+        exceptions.SettingsError(
+            name, "section", f"unknown section; {_hint(name, models)}"
+        )
+        for name in sections
+        if name not in models
+    ]
+    fields = {f.name: f for f in msgspec.structs.fields(Settings)}
+    for name, model in models.items():
+        if name in sections:
+            faults += _find_section_faults(name, model, sections[name])
+        elif fields[name].required:
+            keys = ", ".join(t.get_type_hints(model))
+            faults.append(
+                exceptions.SettingsError(
+                    name, "section", f"missing; it has the keys {keys}"
+                )
+            )
+    return faults + _find_shared_addresses(sections.get("listen", {}))
 
 
 def parse(text: str) -> Settings:
@@ -119,20 +236,25 @@
     Raises
     ------
     SettingsError
-        If a section or key is unknown, missing or of a wrong type.
+        If a section or key is unknown, missing or of a wrong type; with
+        several faults it is a ``SettingsFaults``.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text)
     except configparser.Error as error:
-        raise exceptions.SettingsError("file", "syntax", str(error)) from error
-    settings = _convert(
-        {name: dict(parser[name]) for name in parser.sections()}
-    )
-    for section, key in _ADDRESSES:
-        value: t.Any = getattr(getattr(settings, section), key)
-        _check_address(section, key, value)
-    return settings
+        # The lines of the file, and so its keys, are not repeated.
+        problem = f"{type(error).__name__} in line " + str(
+            getattr(error, "lineno", None) or error.errors[0][0]
+        )
+        raise exceptions.SettingsError("file", "syntax", problem) from None
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    faults = _find_faults(sections)
+    if len(faults) == 1:
+        raise faults[0]
+    if faults:
+        raise exceptions.SettingsFaults(tuple(faults))
+    return msgspec.convert(sections, Settings, strict=False)
 
 
 def load(path: str) -> Settings:
@@ -144,7 +266,7 @@
         If the file cannot be read or is not acceptable.
     """
     try:
-        text = pathlib.Path(path).read_text()
-    except OSError as error:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
         raise exceptions.SettingsError("file", path, str(error)) from error
     return parse(text)
