--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -63,11 +63,16 @@
     )
 
 
+def hash_key(key: str) -> str:
+    """Return the digest of an API key that the configuration holds."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def _find_workspace(
     config: configuration.Configuration, headers: dict[str, str]
 ) -> str:
     scheme, _, key = headers.get("authorization", "").partition(" ")
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hash_key(key)
     found = ""
     # All hashes are compared, so that the time taken tells nothing.
     for name, workspace in config.workspaces.items():
@@ -255,3 +260,8 @@
             first_token_s = relayed.first_s - started_s
             metrics.observe("first_token_s", first_token_s, *labels)
         metrics.observe_stream(*relayed, *labels)
+
+
+async def serve(env: environment.Environment, stop: trio.Event) -> None:
+    """Serve callers until ``stop`` is set."""
+    await asgi.serve(CallersApp(env), env.settings.listen.callers, stop)
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -12,6 +12,7 @@
 from sycamorespool import fleet
 from sycamorespool import gauges
 from sycamorespool import grant_user
+from sycamorespool import grantor
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
@@ -20,20 +21,26 @@
 READINESS_NOTICE_S = 0.5
 
 
-def _make_peer_handler(
-    env: environment.Environment, own: owner.Owner
-) -> transport.Handler:
-    async def handle(message: transport.Message) -> transport.Message:
-        match message:
-            case transport.Ping():
-                return transport.Pong(env.name)
-            case transport.GrantsWanted(ask=ask):
-                answer = owner.grant(own, ask)
-                if answer is not None:
-                    return transport.GrantsGiven(answer)
-        return transport.Refused("not the owner")
+def _make_peer_handlers(
+    env: environment.Environment, granter: grantor.Grantor
+) -> transport.Handlers:
+    """Return the handler of each message that other entries send."""
 
-    return handle
+    async def answer_ping(message: transport.Ping) -> transport.Message:
+        return transport.Pong(env.name)
+
+    async def give_grants(
+        message: transport.GrantsWanted,
+    ) -> transport.Message:
+        answer = grantor.grant(granter, message.ask)
+        if answer is None:
+            return transport.Refused("not the owner")
+        return transport.GrantsGiven(answer)
+
+    return {
+        transport.Ping: answer_ping,
+        transport.GrantsWanted: give_grants,
+    }
 
 
 async def _stop_on_signal(
@@ -57,6 +64,7 @@
     """Run an entry until it is told to stop."""
     env = environment.make_environment(chosen)
     own = owner.Owner(env)
+    granter = grantor.Grantor(own)
     stop = trio.Event()
     listen = chosen.listen
     statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
@@ -67,17 +75,17 @@
         nursery.start_soon(fleet.follow_membership, env)
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
-        nursery.start_soon(grant_user.ask_for_grants, env, own)
+        nursery.start_soon(grant_user.ask_for_grants, env, granter)
         nursery.start_soon(
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
         )
         await nursery.start(
-            transport.serve, listen.peers, _make_peer_handler(env, own)
+            transport.serve, listen.peers, _make_peer_handlers(env, granter)
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
         logging.info("entry: started name=%s", env.name)
-        await asgi.serve(callers_app.CallersApp(env), listen.callers, stop)
+        await callers_app.serve(env, stop)
         nursery.cancel_scope.cancel()
     env.transport.close()
     logging.info("entry: stopped name=%s", env.name)
