--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -10,8 +10,10 @@
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import fleet
+from sycamorespool import gauges
 from sycamorespool import grant_user
 from sycamorespool import grantor
+from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
 from sycamorespool import settings
@@ -65,6 +67,8 @@
     granter = grantor.Grantor(own)
     stop = trio.Event()
     listen = chosen.listen
+    statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
+    metrics.count_violations(env.metrics)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, env, stop)
         nursery.start_soon(fleet.follow_log, env)
@@ -72,6 +76,9 @@
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
         nursery.start_soon(grant_user.ask_for_grants, env, granter)
+        nursery.start_soon(
+            metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
+        )
         await nursery.start(
             transport.serve, listen.peers, _make_peer_handlers(env, granter)
         )
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -12,6 +12,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
 from sycamorespool import settings
@@ -37,6 +38,8 @@
         The grants under which this entry sends work.
     links : stream.Links
         The idle connections to backend servers.
+    metrics : metrics.Metrics
+        Counters, gauges and histograms of this entry.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -55,6 +58,10 @@
         default_factory=grants_held.GrantsHeld
     )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
+    # Quoted, as the field hides the module once it has its default.
+    metrics: "metrics.Metrics" = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
