--- a/src/sycamorespool/models.py
+++ b/src/sycamorespool/models.py
@@ -74,6 +74,8 @@
         Recent mean time between tokens, 0 if none.
     completed : int
         Requests completed since it started.
+    cached_blocks : int
+        Blocks of its prefix cache in use, or -1 if it does not say.
     """
 
     vm: str
@@ -86,6 +88,7 @@
     in_flight: int = 0
     token_interval_s: float = 0.0
     completed: int = 0
+    cached_blocks: int = -1
 
 
 class JoinOrder(msgspec.Struct, frozen=True, tag="join", tag_field="order"):
@@ -121,12 +124,22 @@
         Requests in flight at the asker, by group id.
     wanted : dict
         Places the asker could use, by service.
+    incarnation : int
+        Start number of the asking process.
+    asked_s : float
+        When the asker began to ask, on its own monotonic clock.
+    taken_s : float
+        ``asked_s`` of the newest answer that the asker has taken; it uses
+        no grant of an older one.
     """
 
     entry: str
     unit: str
     in_flight: dict[str, int] = {}
     wanted: dict[str, int] = {}
+    incarnation: int = 0
+    asked_s: float = 0.0
+    taken_s: float = -1.0
 
 
 class Grant(msgspec.Struct, frozen=True):
