--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -4,9 +4,9 @@
 import hmac
 
 import msgspec
+import trio
 
 from sycamorespool import asgi
-from sycamorespool.backend_servers import stream
 from sycamorespool import configuration
 from sycamorespool import dispatch
 from sycamorespool import environment
@@ -62,11 +62,16 @@
     )
 
 
+def hash_key(key: str) -> str:
+    """Return the digest of an API key that the configuration holds."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def _find_workspace(
     config: configuration.Configuration, headers: dict[str, str]
 ) -> str:
     scheme, _, key = headers.get("authorization", "").partition(" ")
-    digest = hashlib.sha256(key.encode()).hexdigest()
+    digest = hash_key(key)
     found = ""
     # All hashes are compared, so that the time taken tells nothing.
     for name, workspace in config.workspaces.items():
@@ -153,7 +158,7 @@
     )
 
 
-async def _relay(answer: stream.BackendAnswer, send: asgi.Send) -> None:
+async def _relay(answer: dispatch.Answer, send: asgi.Send) -> None:
     content_type = answer.headers.get("content-type", asgi.JSON_TYPE)
     is_stream = content_type == "text/event-stream"
     await send(
@@ -173,7 +178,7 @@
                 "more_body": True,
             }
         )
-    if is_stream and stream.DONE not in tail:
+    if is_stream and dispatch.STREAM_END not in tail:
         raise exceptions.BackendCut("the stream has no last event")
     await send({"type": "http.response.body", "body": b""})
 
@@ -224,3 +229,8 @@
             await asgi.send_response(send, make_problem(error))
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
             await asgi.send_response(send, make_problem(error))
+
+
+async def serve(env: environment.Environment, stop: trio.Event) -> None:
+    """Serve callers until ``stop`` is set."""
+    await asgi.serve(CallersApp(env), env.settings.listen.callers, stop)
