Run keyed calls through a keeper that replays the log

A charge with an idempotency key had no path of its own: a repeat ran it again. Now the entry asks the keeper of the key for a ruling, sends only under it, and reports the outcome, which the keeper appends in batches.

The keeper is named by rendezvous over the live entries, not by a claim: safety is the log's order alone, so two keepers at once do no harm, and a change of keeper costs no append. A withdrawal is appended only if the attempt won or an intent of it may still land, so that an outage of the log leaves no queue of withdrawals behind.

--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -16,6 +16,7 @@
 from sycamorespool import dispatch
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import keyed_calls
 from sycamorespool import relay
 
 COMPLETIONS_PATH = "/v1/chat/completions"
@@ -157,6 +158,7 @@
         is_idempotent,
         is_completion,
         is_stream,
+        "" if is_idempotent else keyed_calls.find_key(request.headers),
     )
 
 
@@ -187,8 +189,13 @@
 class CallersApp:
     """The ASGI application towards callers."""
 
-    def __init__(self, env: environment.Environment) -> None:
+    def __init__(
+        self,
+        env: environment.Environment,
+        keyed: keyed_calls.KeyedCalls | None = None,
+    ) -> None:
         self._env = env
+        self._keyed = keyed
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -259,6 +266,9 @@
         receive: asgi.Receive,
         passed: relay.Relay,
     ) -> None:
+        if call.key:
+            await self._run_keyed(call, passed)
+            return
         if not call.is_idempotent:
             # It runs to its end even if the caller leaves, so that its
             # outcome does not become unknown by that.
@@ -279,6 +289,14 @@
         if failure is not None:
             raise failure
 
+    async def _run_keyed(
+        self, call: dispatch.Call, passed: relay.Relay
+    ) -> None:
+        if self._keyed is None:
+            raise exceptions.NotRun("no_keys", "this entry keeps no keys")
+        answer = await keyed_calls.run_keyed_call(self._keyed, call)
+        await passed.answer(answer)
+
     async def _refuse(
         self,
         error: exceptions.NotRun | exceptions.OutcomeUnknown,
@@ -325,12 +343,13 @@
 async def serve(
     env: environment.Environment,
     stop: trio.Event,
+    keyed: keyed_calls.KeyedCalls | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve callers until ``stop`` is set."""
     chosen = env.settings
     await server.serve(
-        CallersApp(env),
+        CallersApp(env, keyed),
         chosen.listen.callers,
         chosen.limits,
         stop,
--- a/src/sycamorespool/decisions/key_attempts.py
+++ b/src/sycamorespool/decisions/key_attempts.py
@@ -54,11 +54,26 @@
 
 @dataclasses.dataclass(slots=True)
 class KeyedAttempt:
-    """One attempt; ``started_s`` is a clock that also counts suspension."""
+    """One keyed attempt at the entry that the caller reached.
+
+    Parameters
+    ----------
+    started_s : float
+        Time of a clock that also counts suspension.
+    is_loose : bool
+        Whether an intent of it may stand in the log, or land there later,
+        without its having been ruled on.
+    """
 
     call: keys.Call
     started_s: float
     step: Step = Step.ASKING
+    is_loose: bool = False
+
+
+def needs_withdrawal(attempt: KeyedAttempt) -> bool:
+    """Tell whether the key stays blocked unless the attempt withdraws."""
+    return attempt.step is Step.CLEARED or attempt.is_loose
 
 
 def can(attempt: KeyedAttempt, event: Event) -> bool:
--- a/src/sycamorespool/decisions/key_batches.py
+++ b/src/sycamorespool/decisions/key_batches.py
@@ -137,16 +137,10 @@
     )
 
 
-def finish(
-    batcher: Batcher, batch: records.KeyBatch, is_appended: bool
-) -> tuple[records.KeyIntent, ...]:
-    """Note the end of an append and return the intents to refuse.
+def finish(batcher: Batcher) -> None:
+    """Note the end of an append.
 
-    Outcomes and withdrawals of a failed append go back into the queue.
+    The items of one that failed are dropped: whoever gave an outcome or a
+    withdrawal gives it again, and an intent is refused.
     """
     batcher.is_appending = False
-    if is_appended:
-        return ()
-    batcher.pending.extendleft(reversed(batch.withdrawals))
-    batcher.pending.extendleft(reversed(batch.outcomes))
-    return batch.intents
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -30,6 +30,8 @@
         Whether it may be run again.
     is_completion, is_stream : bool
         Whether a model's completion is wanted, and as a stream of events.
+    key : str
+        Idempotency key of a call that may not be repeated, or empty.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     is_idempotent: bool
     is_completion: bool = False
     is_stream: bool = False
+    key: str = ""
 
 
 async def _take_place(
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -6,6 +6,7 @@
 
 from sycamorespool.decisions import pings
 from sycamorespool import models
+from sycamorespool import records
 
 
 class GrantsWanted(
@@ -38,6 +39,57 @@
     group_ids: tuple[str, ...]
 
 
+class KeyAsked(msgspec.Struct, frozen=True, array_like=True, tag="key_asked"):
+    """Ask the keeper of a key for a ruling on an attempt."""
+
+    intent: records.KeyIntent
+    wait_s: float
+
+
+class KeyRuled(msgspec.Struct, frozen=True, array_like=True, tag="key_ruled"):
+    """The ruling, and the outcome if one is kept."""
+
+    ruling: str
+    outcome: records.KeyOutcome | None = None
+
+
+class KeyRefused(
+    msgspec.Struct, frozen=True, array_like=True, tag="key_refused"
+):
+    """No ruling can be had; the caller is told ``not run``."""
+
+    code: str
+    detail: str
+    retry_after_s: float
+
+
+class KeyReported(
+    msgspec.Struct, frozen=True, array_like=True, tag="key_reported"
+):
+    """Have an outcome or a withdrawal appended; answered when it is."""
+
+    outcome: records.KeyOutcome | None = None
+    withdrawal: records.KeyWithdrawal | None = None
+
+
+class UsageTold(
+    msgspec.Struct, frozen=True, array_like=True, tag="usage_told"
+):
+    """What an entry uses and wants of each service.
+
+    Parameters
+    ----------
+    demands : dict
+        Places in use and wanted, by service and workspace.
+    places : dict
+        Places that its grants give it, by service.
+    """
+
+    entry: str
+    demands: dict[str, dict[str, float]]
+    places: dict[str, float]
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """The message was taken in."""
 
@@ -55,6 +107,11 @@
     | GrantsWanted
     | GrantsGiven
     | GrantsWithdrawn
+    | KeyAsked
+    | KeyRuled
+    | KeyRefused
+    | KeyReported
+    | UsageTold
     | Done
     | Refused
 )
--- /dev/null
+++ b/src/sycamorespool/key_keeper.py
@@ -0,0 +1,364 @@
+"""The keeper of key partitions: batches appends, indexes keys, rules.
+
+Rendezvous hashing over the live entries names the keeper of a partition.
+Two keepers at once do no harm: whoever asks gets its ruling from a replay
+of the partition's stream, and the order of the log alone decides.
+"""
+
+import dataclasses
+import time
+
+import trio
+
+from sycamorespool.decisions import key_attempts
+from sycamorespool.decisions import key_batches
+from sycamorespool.decisions import key_snapshots
+from sycamorespool.decisions import keys
+from sycamorespool.decisions import rendezvous
+from sycamorespool import environment
+from sycamorespool import exceptions
+from sycamorespool import logs
+from sycamorespool import records
+
+CHECK_PERIOD_S = 1.0
+FOLLOW_PERIOD_S = 0.25
+REFUSE_AFTER_FAILURE_S = 0.5
+RETRY_AFTER_S = 2.0
+ANSWER_LOST = "log_answer_lost"
+
+log = logs.make_logger("keys")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What the stream says of an attempt."""
+
+    ruling: keys.Ruling
+    outcome: records.KeyOutcome | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Append:
+    """One wait for an append; ``error`` tells how it went."""
+
+    event: trio.Event = dataclasses.field(default_factory=trio.Event)
+    error: exceptions.PlatformError | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Partition:
+    """One partition at one keeper.
+
+    Parameters
+    ----------
+    state : keys.PartitionState, optional
+        The replayed stream, None until it is read.
+    appends : list
+        Waits for the next append, with the id of their item's attempt.
+    down_until_s : float
+        Until when callers are refused without asking the log again.
+    """
+
+    number: int
+    batcher: key_batches.Batcher
+    state: keys.PartitionState | None = None
+    appends: list[tuple[key_batches.Item, _Append]] = dataclasses.field(
+        default_factory=list
+    )
+    added: trio.Event = dataclasses.field(default_factory=trio.Event)
+    lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
+    followed_s: float = float("-inf")
+    down_until_s: float = float("-inf")
+    snapshot_unix_s: float = 0.0
+
+    @property
+    def unit(self) -> str:
+        """Name of the partition among the units of the fleet."""
+        return keys.unit_of(self.number)
+
+    @property
+    def stream(self) -> str:
+        """Stream of the log that holds the partition."""
+        return keys.stream_of(self.number)
+
+
+class KeyKeeper:
+    """The partitions that this entry keeps.
+
+    Parameters
+    ----------
+    env : environment.Environment
+        The entry.
+    """
+
+    def __init__(self, env: environment.Environment) -> None:
+        section = env.settings.keys
+        self.env = env
+        self.window_s = section.window_s
+        self.retention_s = section.log_retention_s
+        self.policy = key_batches.BatchPolicy(
+            section.partitions, section.appends_per_s
+        )
+        self.partitions = {
+            number: Partition(
+                number,
+                key_batches.make_batcher(self.policy, 0.0),
+            )
+            for number in range(section.partitions)
+        }
+
+    def find(self, workspace: str, key: str) -> Partition:
+        """Return the partition of a key."""
+        count = self.policy.partitions
+        return self.partitions[keys.partition_of(workspace, key, count)]
+
+    def rank_keepers(self, partition: Partition) -> list[str]:
+        """Return the entries that may keep a partition, the best first."""
+        return rendezvous.rank(partition.unit, self.env.entries())
+
+    def keeps(self, partition: Partition) -> bool:
+        """Tell whether this entry is the keeper of a partition."""
+        return self.rank_keepers(partition)[:1] == [self.env.name]
+
+
+def _refuse(code: str, detail: str) -> exceptions.NotRun:
+    return exceptions.NotRun(code, detail, retry_after_s=RETRY_AFTER_S)
+
+
+async def _read_all(
+    keeper: KeyKeeper, partition: Partition
+) -> keys.PartitionState:
+    client = keeper.env.log
+    entries: list[records.LogEntry] = []
+    try:
+        page = await client.read(partition.stream, 0)
+    except exceptions.RecordsExpired as error:
+        page = await client.read(partition.stream, error.first_offset)
+    first = page.first
+    while page.entries:
+        entries += page.entries
+        page = await client.read(partition.stream, entries[-1].offset + 1)
+    return key_snapshots.restore(entries, first, keeper.window_s)
+
+
+async def _read_on(
+    keeper: KeyKeeper, partition: Partition, state: keys.PartitionState
+) -> None:
+    while True:
+        page = await keeper.env.log.read(partition.stream, state.offset + 1)
+        for entry in page.entries:
+            if entry.offset != state.offset + 1:
+                raise exceptions.PlatformUnavailable("the log has a gap")
+            keys.apply(state, entry.offset, entry.record, keeper.window_s)
+        if state.offset + 1 >= page.head:
+            return
+
+
+async def follow(keeper: KeyKeeper, partition: Partition) -> None:
+    """Replay the stream of a partition to its head.
+
+    Raises
+    ------
+    PlatformError
+        If the log cannot be read, or has lost records that were needed.
+    """
+    async with partition.lock:
+        if partition.state is not None:
+            try:
+                await _read_on(keeper, partition, partition.state)
+            except exceptions.RecordsExpired:
+                partition.state = None
+        if partition.state is None:
+            partition.state = await _read_all(keeper, partition)
+        partition.followed_s = trio.current_time()
+
+
+async def _follow_lately(keeper: KeyKeeper, partition: Partition) -> None:
+    age_s = trio.current_time() - partition.followed_s
+    if partition.state is None or age_s >= FOLLOW_PERIOD_S:
+        await follow(keeper, partition)
+
+
+def _answer(
+    keeper: KeyKeeper, partition: Partition, call: keys.Call
+) -> Answer:
+    state = partition.state or keys.PartitionState()
+    ruling = keys.rule(state, call, keeper.window_s)
+    name = (call.workspace, call.key)
+    key = keys.find(state, name, keeper.window_s)
+    return Answer(ruling, key.outcome if key else None)
+
+
+async def append(
+    keeper: KeyKeeper, partition: Partition, item: key_batches.Item
+) -> None:
+    """Have an item appended with the next batch.
+
+    Raises
+    ------
+    NotRun
+        If too many items wait.
+    PlatformUnavailable
+        If the log did not take it.
+    OutcomeLost
+        If it may stand in the log, or land there later.
+    """
+    if not key_batches.add(keeper.policy, partition.batcher, item):
+        raise _refuse("key_backlog", "too many keyed calls wait for the log")
+    wait = _Append()
+    partition.appends.append((item, wait))
+    partition.added.set()
+    await wait.event.wait()
+    if wait.error is not None:
+        raise wait.error
+
+
+async def ask(
+    keeper: KeyKeeper, intent: records.KeyIntent, wait_s: float
+) -> Answer:
+    """Rule on an attempt; append its intent if the stream must decide.
+
+    A repeat of a call that is in progress waits up to ``wait_s`` for its
+    outcome.
+
+    Raises
+    ------
+    NotRun
+        If the log cannot be used, or the asker's clock differs.
+    """
+    partition = keeper.find(intent.workspace, intent.key)
+    if trio.current_time() < partition.down_until_s:
+        raise _refuse("log_unavailable", "the log did not answer lately")
+    if not key_attempts.is_clock_trusted(intent.at_unix_s, time.time()):
+        raise _refuse("clock_differs", "the clocks of two entries differ")
+    call = keys.Call(
+        intent.workspace, intent.key, intent.digest, intent.attempt_id
+    )
+    try:
+        if partition.state is None:
+            await follow(keeper, partition)
+        return await _decide(keeper, partition, call, intent, wait_s)
+    except exceptions.KeyHistoryLost as error:
+        raise _refuse("key_history_lost", str(error)) from error
+    except exceptions.OutcomeLost as error:
+        raise _refuse(ANSWER_LOST, str(error)) from error
+    except exceptions.PlatformError as error:
+        _note_failure(partition)
+        raise _refuse("log_unavailable", str(error)) from error
+
+
+def _note_failure(partition: Partition) -> None:
+    partition.down_until_s = trio.current_time() + REFUSE_AFTER_FAILURE_S
+
+
+async def _decide(
+    keeper: KeyKeeper,
+    partition: Partition,
+    call: keys.Call,
+    intent: records.KeyIntent,
+    wait_s: float,
+) -> Answer:
+    answer = _answer(keeper, partition, call)
+    if answer.ruling is keys.Ruling.APPEND:
+        await append(keeper, partition, intent)
+        answer = _answer(keeper, partition, call)
+        if answer.ruling is keys.Ruling.APPEND:
+            raise exceptions.OutcomeLost("the intent is not replayed yet")
+    with trio.move_on_after(wait_s):
+        while answer.ruling is keys.Ruling.IN_PROGRESS:
+            await trio.sleep(FOLLOW_PERIOD_S / 2)
+            await _follow_lately(keeper, partition)
+            answer = _answer(keeper, partition, call)
+    return answer
+
+
+async def _append_batch(
+    keeper: KeyKeeper, partition: Partition, batch: records.KeyBatch
+) -> exceptions.PlatformError | None:
+    """Append a batch and replay it; return what went wrong.
+
+    A batch whose answer was lost counts as lost even if it is found: it
+    may be the copy that lands twice.  Its intents are withdrawn.
+    """
+    try:
+        await keeper.env.log.append(partition.stream, [batch])
+    except exceptions.PlatformError as error:
+        return error
+    try:
+        await follow(keeper, partition)
+    except exceptions.PlatformError as error:
+        return exceptions.OutcomeLost(str(error))
+    return None
+
+
+def _end_waits(
+    partition: Partition,
+    batch: records.KeyBatch,
+    error: exceptions.PlatformError | None,
+) -> None:
+    items = {*batch.intents, *batch.outcomes, *batch.withdrawals}
+    ended = [row for row in partition.appends if row[0] in items]
+    partition.appends = [r for r in partition.appends if r[0] not in items]
+    for _, wait in ended:
+        wait.error = error
+        wait.event.set()
+
+
+async def _append_batches(keeper: KeyKeeper, partition: Partition) -> None:
+    policy, batcher = keeper.policy, partition.batcher
+    while True:
+        now_s = trio.current_time()
+        due_s = key_batches.find_append_time(policy, batcher, now_s)
+        if due_s is None:
+            partition.added = trio.Event()
+            await partition.added.wait()
+            continue
+        await trio.sleep_until(max(due_s, partition.down_until_s))
+        batch = key_batches.take(
+            policy, batcher, environment.make_id(), trio.current_time()
+        )
+        error = await _append_batch(keeper, partition, batch)
+        if error is not None:
+            _note_failure(partition)
+            keeper.env.metrics.count("log_appends_failed")
+            log.warning("append failed", unit=partition.unit, error=error)
+        key_batches.finish(batcher)
+        _end_waits(partition, batch, error)
+
+
+async def _write_snapshot(keeper: KeyKeeper, partition: Partition) -> None:
+    await _follow_lately(keeper, partition)
+    state = partition.state
+    now_unix_s = time.time()
+    is_due = key_snapshots.is_due(
+        now_unix_s, partition.snapshot_unix_s, keeper.retention_s
+    )
+    if state is None or state.offset < 0 or not is_due:
+        return
+    record = key_snapshots.make_record(
+        state, environment.make_id(), keeper.window_s
+    )
+    await keeper.env.log.append(partition.stream, [record])
+    partition.snapshot_unix_s = now_unix_s
+
+
+async def _keep(keeper: KeyKeeper) -> None:
+    """Hold the partitions of this entry, and no others, in memory."""
+    while True:
+        for partition in keeper.partitions.values():
+            if keeper.keeps(partition) and not keeper.env.is_stopping:
+                try:
+                    await _write_snapshot(keeper, partition)
+                except exceptions.PlatformError as error:
+                    log.warning("not kept", unit=partition.unit, error=error)
+            elif not partition.appends and not partition.lock.locked():
+                partition.state = None
+        await trio.sleep(CHECK_PERIOD_S)
+
+
+async def run(keeper: KeyKeeper) -> None:
+    """Keep the partitions of this entry, for ever."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_keep, keeper)
+        for partition in keeper.partitions.values():
+            nursery.start_soon(_append_batches, keeper, partition)
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -50,6 +50,14 @@
     int,
     msgspec.Meta(gt=0, description="a whole number of bytes, as 1048576"),
 ]
+Count: t.TypeAlias = t.Annotated[
+    int,
+    msgspec.Meta(ge=1, le=1024, description="a whole number from 1 to 1024"),
+]
+Rate: t.TypeAlias = t.Annotated[
+    float,
+    msgspec.Meta(gt=0.0, description="a number per second over 0, as 150"),
+]
 
 
 class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -137,6 +145,30 @@
     drain_timeout_s: Seconds = 30.0
 
 
+class KeysSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Idempotency keys; all entries must have the same values.
+
+    Parameters
+    ----------
+    partitions : int
+        Streams over which the keys are spread.  Changing it forgets keys.
+    appends_per_s : float
+        Appends that the whole fleet may make for keys.
+    window_s : float
+        How long a key is kept after its last change.
+    log_retention_s : float
+        How long the log keeps records.
+    repeat_wait_s : float
+        How long a repeat waits for the outcome of the first call.
+    """
+
+    partitions: Count = 16
+    appends_per_s: Rate = 150.0
+    window_s: Seconds = 86400.0
+    log_retention_s: Seconds = 86400.0
+    repeat_wait_s: Seconds = 10.0
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of an entry."""
 
@@ -147,6 +179,7 @@
     operators: OperatorsSection
     statsd: StatsdSection = StatsdSection()
     limits: LimitsSection = LimitsSection()
+    keys: KeysSection = KeysSection()
 
 
 _Sections: t.TypeAlias = dict[str, dict[str, str]]
--- a/tests/decisions/test_keys.py
+++ b/tests/decisions/test_keys.py
@@ -200,29 +200,33 @@
         key_batches.add(self.policy, batcher, key_records.intent("a"))
         find = key_batches.find_append_time
         assert find(self.policy, batcher, 0.0) == 0.0
-        batch = key_batches.take(self.policy, batcher, "b", 0.0)
+        key_batches.take(self.policy, batcher, "b", 0.0)
         key_batches.add(self.policy, batcher, key_records.intent("b"))
         assert find(self.policy, batcher, 0.0) is None
-        key_batches.finish(batcher, batch, is_appended=True)
+        key_batches.finish(batcher)
         assert find(self.policy, batcher, 0.0) == pytest.approx(0.1)
 
-    def test_failed_append_refuses_intents_and_keeps_outcomes(self):
+    def test_full_queue_refuses_intents_alone(self):
         batcher = key_batches.make_batcher(self.policy, 0.0)
-        for item in (key_records.outcome("a"), key_records.intent("b")):
+        items = (key_records.outcome("a"), key_records.intent("b"))
+        for item in items:
             assert key_batches.add(self.policy, batcher, item)
-        assert not key_batches.add(
-            self.policy, batcher, key_records.intent("c")
-        )
-        assert key_batches.add(
-            self.policy, batcher, key_records.withdrawal("c")
-        )
+        refused = key_records.intent("c")
+        assert not key_batches.add(self.policy, batcher, refused)
+        late = key_records.withdrawal("c")
+        assert key_batches.add(self.policy, batcher, late)
         batch = key_batches.take(self.policy, batcher, "b", 0.0)
-        refused = key_batches.finish(batcher, batch, is_appended=False)
-        assert refused == (key_records.intent("b"),)
-        assert list(batcher.pending) == [
-            key_records.outcome("a"),
-            key_records.withdrawal("c"),
-        ]
+        assert (batch.intents, batch.outcomes) == (items[1:], items[:1])
+        assert batch.withdrawals == (late,)
+
+    def test_append_is_bounded_in_size(self):
+        policy = key_batches.BatchPolicy(max_items=3, max_bytes=1000)
+        batcher = key_batches.make_batcher(policy, 0.0)
+        for body in (b"", b"", b"", b"x" * 2000, b""):
+            item = key_records.outcome("a", body)
+            key_batches.add(policy, batcher, item)
+        taken = [key_batches.take(policy, batcher, "b", 0.0) for _ in "123"]
+        assert [len(batch.outcomes) for batch in taken] == [3, 1, 1]
 
 
 class TestClocks:
