--- a/src/sycamorespool/keyed_calls.py
+++ b/src/sycamorespool/keyed_calls.py
@@ -192,7 +192,9 @@
 async def _report(calls: KeyedCalls, item: key_batches.Item) -> None:
     """Have an item appended, however long that takes."""
     try:
-        while not await _report_once(calls, item):
+        while True:
+            if await _report_once(calls, item):
+                return
             await trio.sleep(REPORT_RETRY_S)
     finally:
         calls.reports_open -= 1
