--- /dev/null
+++ b/benchmarks/claimants.py
@@ -0,0 +1,126 @@
+"""Compare ways to choose the owners of units as entries come and go."""
+
+from collections import abc
+import math
+import random
+import statistics
+import time
+import typing as t
+
+from sycamorespool.decisions import claimants
+from sycamorespool.decisions import fleet
+from sycamorespool.decisions import rendezvous
+
+SIZES = ((18, 9), (170, 380))
+EVENTS = 40
+SEEDS = 2
+BOUND = 1.25
+
+Owners: t.TypeAlias = dict[str, str]
+Policy: t.TypeAlias = abc.Callable[[Owners, list[str], list[str]], Owners]
+
+
+def _plain(owners: Owners, units: list[str], names: list[str]) -> Owners:
+    return {unit: rendezvous.rank(unit, names)[0] for unit in units}
+
+
+def _bounded(owners: Owners, units: list[str], names: list[str]) -> Owners:
+    limit = math.ceil(BOUND * len(units) / len(names))
+    counts = dict.fromkeys(names, 0)
+    chosen = {}
+    for unit in units:
+        for name in rendezvous.rank(unit, names):
+            if counts[name] < limit:
+                chosen[unit] = name
+                counts[name] += 1
+                break
+    return chosen
+
+
+def _make_scene(
+    owners: Owners, units: list[str], names: list[str]
+) -> claimants.Scene:
+    replayed = fleet.FleetState()
+    replayed.owners = {
+        unit: fleet.Ownership(name, 1, 1) for unit, name in owners.items()
+    }
+    candidates = dict.fromkeys(names, claimants.Candidate(1))
+    return claimants.Scene(replayed, dict.fromkeys(units, ""), candidates)
+
+
+def _least(owners: Owners, units: list[str], names: list[str]) -> Owners:
+    held = {unit: name for unit, name in owners.items() if name in names}
+    held.update(claimants.choose_owners(_make_scene(held, units, names)))
+    while True:
+        counts = dict.fromkeys(names, 0)
+        for name in held.values():
+            counts[name] += 1
+        most = max(names, key=lambda name: counts[name])
+        if counts[most] < min(counts.values()) + 2:
+            return held
+        unit = min(unit for unit in held if held[unit] == most)
+        del held[unit]
+        held.update(claimants.choose_owners(_make_scene(held, units, names)))
+
+
+POLICIES: dict[str, Policy] = {
+    "plain rendezvous": _plain,
+    "bounded-load rendezvous": _bounded,
+    "least owned, rendezvous among equals": _least,
+}
+
+
+def _run_events(
+    policy: Policy, units: list[str], names: list[str], seed: int
+) -> tuple[list[int], int, int, list[float]]:
+    rng = random.Random(seed)
+    owners = policy({}, units, names)
+    most, extra, moved, times_s = [], 0, 0, []
+    for event in range(EVENTS):
+        lost = rng.choice(names) if event % 2 == 0 else ""
+        names = sorted({*names, f"new-{event}"} - {lost})
+        if event % 2 == 0:
+            names.remove(f"new-{event}")
+        began_s = time.perf_counter()
+        chosen = policy(owners, units, names)
+        times_s.append(time.perf_counter() - began_s)
+        changed = [unit for unit in units if chosen[unit] != owners[unit]]
+        moved += len(changed)
+        extra += sum(owners[unit] in names for unit in changed)
+        owners = chosen
+        counts = [list(owners.values()).count(name) for name in names]
+        most.append(max(counts))
+    return most, moved, extra, times_s
+
+
+def run() -> dict[str, t.Any]:
+    """Return spread, moves and time of each policy at each size.
+
+    Returns
+    -------
+    dict
+        By size and policy: the mean and the greatest number of units of
+        the most loaded entry, moves per event, those of them whose owner
+        lives, and the median time of a choice in ms.
+    """
+    results: dict[str, t.Any] = {}
+    for unit_count, entry_count in SIZES:
+        units = sorted(f"domain/d{number}" for number in range(unit_count))
+        names = [f"entry-{number}" for number in range(entry_count)]
+        for title, policy in POLICIES.items():
+            runs = [
+                _run_events(policy, units, names, seed)
+                for seed in range(SEEDS)
+            ]
+            most = [value for one in runs for value in one[0]]
+            times_s = [value for one in runs for value in one[3]]
+            events = EVENTS * SEEDS
+            results[f"{unit_count} units, {entry_count} entries, {title}"] = {
+                "most_units_mean": round(statistics.mean(most), 2),
+                "most_units_max": max(most),
+                "moves_per_event": sum(one[1] for one in runs) / events,
+                "moves_from_live_per_event": sum(one[2] for one in runs)
+                / events,
+                "choice_ms": round(statistics.median(times_s) * 1e3, 2),
+            }
+    return results
