--- /dev/null
+++ b/src/sycamorespool/backend_servers/control.py
@@ -0,0 +1,48 @@
+"""Orders towards backend servers."""
+
+import httpcore
+import msgspec
+
+from sycamorespool import exceptions
+from sycamorespool import http_client
+from sycamorespool import models
+
+ORDER_TIMEOUT_S = 2.0
+
+
+def _decode_report(answer: http_client.Answer) -> models.ProbeReport:
+    if answer.status == 409:
+        raise exceptions.BackendRefused(409, "old epoch")
+    if answer.status != 200:
+        raise exceptions.BackendCut(f"answered {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=models.ProbeReport)
+    except msgspec.DecodeError as error:
+        raise exceptions.BackendCut(str(error)) from error
+
+
+async def send_order(
+    pool: httpcore.AsyncConnectionPool, address: str, order: models.Order
+) -> models.ProbeReport:
+    """Send an order and return the state that it led to.
+
+    Raises
+    ------
+    BackendRefused
+        If the backend server took an order of a newer epoch before.
+    BackendNotReached
+        If the order was not sent.
+    BackendCut
+        If the order may have been obeyed, but its answer was lost.
+    """
+    url = f"http://{address}/orders"
+    body = msgspec.json.encode(order)
+    try:
+        answer = await http_client.exchange(
+            pool, "POST", url, body, ORDER_TIMEOUT_S
+        )
+    except http_client.NotReached as error:
+        raise exceptions.BackendNotReached(str(error)) from error
+    except http_client.ExchangeFailed as error:
+        raise exceptions.BackendCut(str(error)) from error
+    return _decode_report(answer)
--- a/src/sycamorespool/models.py
+++ b/src/sycamorespool/models.py
@@ -74,6 +74,8 @@
         Recent mean time between tokens, 0 if none.
     completed : int
         Requests completed since it started.
+    cached_blocks : int
+        Blocks of its prefix cache in use, or -1 if it does not say.
     """
 
     vm: str
@@ -86,6 +88,7 @@
     in_flight: int = 0
     token_interval_s: float = 0.0
     completed: int = 0
+    cached_blocks: int = -1
 
 
 class JoinOrder(msgspec.Struct, frozen=True, tag="join", tag_field="order"):
@@ -105,10 +108,17 @@
     group_id: str
 
 
-Order = JoinOrder | LeaveOrder
+class LoadOrder(msgspec.Struct, frozen=True, tag="load", tag_field="order"):
+    """Order a backend server in no group to load weights in advance."""
 
+    epoch: int
+    weights: str
+
+
+Order = JoinOrder | LeaveOrder | LoadOrder
 
-class GrantAsk(msgspec.Struct, frozen=True):
+
+class GrantAsk(msgspec.Struct, frozen=True, array_like=True):
     """What an entry asks of the owner of a unit.
 
     Parameters
@@ -121,15 +131,25 @@
         Requests in flight at the asker, by group id.
     wanted : dict
         Places the asker could use, by service.
+    incarnation : int
+        Start number of the asking process.
+    asked_s : float
+        When the asker began to ask, on its own monotonic clock.
+    taken_s : float
+        ``asked_s`` of the newest answer that the asker has taken; it uses
+        no grant of an older one.
     """
 
     entry: str
     unit: str
     in_flight: dict[str, int] = {}
     wanted: dict[str, int] = {}
+    incarnation: int = 0
+    asked_s: float = 0.0
+    taken_s: float = -1.0
 
 
-class Grant(msgspec.Struct, frozen=True):
+class Grant(msgspec.Struct, frozen=True, array_like=True):
     """Leave to have ``places`` requests in flight at a group.
 
     It holds for ``ttl_s`` from the moment at which the asker began to ask.
@@ -147,7 +167,7 @@
     warm: bool = False
 
 
-class GrantAnswer(msgspec.Struct, frozen=True):
+class GrantAnswer(msgspec.Struct, frozen=True, array_like=True):
     """The owner's answer to a :class:`GrantAsk`."""
 
     unit: str
