--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -12,7 +12,9 @@
 
 RESULTS_PATH = pathlib.Path("build/benchmarks.json")
 MODULES = {
+    "claimants": "benchmarks.claimants",
     "relay": "benchmarks.relay",
+    "replay": "benchmarks.replay",
 }
 
 
