Choose among live grants by load, prefix cache and distance

Cause: a fixed share per entry spreads each prompt over all replicas.

Rendezvous on the prompt's prefix with bounded load, preferring replicas that cache events or own requests show to hold it; a gap or a restart voids what is known of a replica.

--- /dev/null
+++ b/src/sycamorespool/decisions/routing.py
@@ -0,0 +1,274 @@
+"""Which of its live grants an entry uses for a request.
+
+The nearest data centre with a free place comes first.  Within it, a replica
+that holds the request's prefix in its cache is preferred, unless it is
+loaded much above the mean (rendezvous hashing with bounded loads)::
+
+    key = make_prefix_key("workspace", "the first words of the prompt")
+    held = choose(book, "drafts", key, view, tiers, now_s)
+
+Mirrokni, Thorup and Zadimoghaddam: Consistent Hashing with Bounded Loads,
+SODA 2018.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import hashlib
+import math
+import typing as t
+
+from sycamorespool.decisions import grant_book
+from sycamorespool.decisions import rendezvous
+
+LOAD_BOUND = 1.25
+PREFIX_CHARACTERS = 512
+MAX_PREFIXES = 32768
+MAX_HOLDERS = 3
+ALL_UNITS = 24
+MIN_UNITS = 12
+HEADROOM = 2.0
+FAR_TIER = 9
+
+
+@dataclasses.dataclass(slots=True)
+class CacheView:
+    """Which replicas are thought to hold which prompt prefixes.
+
+    Parameters
+    ----------
+    holders : collections.OrderedDict
+        Group id and generation of the holders, by prefix key; the least
+        recently used prefix first.
+    generations : collections.Counter
+        Raised when all that is known of a group's cache is void.
+    positions : dict
+        Incarnation and sequence of the last event, by group id.
+    """
+
+    holders: collections.OrderedDict[int, dict[str, int]] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    generations: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    positions: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """What a replica's cache has taken in and dropped.
+
+    Parameters
+    ----------
+    group_id : str
+        The replica.
+    incarnation : int
+        Start number of the backend server that reports.
+    sequence : int
+        Number of the event within the incarnation, without gaps.
+    stored, removed : tuple of int
+        Prefix keys.
+    """
+
+    group_id: str
+    incarnation: int
+    sequence: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+
+
+def make_prefix_key(workspace: str, text: str) -> int:
+    """Return the key of a prompt's first characters, 64 bits."""
+    data = f"{workspace}\0{text[:PREFIX_CHARACTERS]}".encode(
+        errors="surrogatepass"
+    )
+    digest = hashlib.blake2b(data, digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def note_stored(view: CacheView, group_id: str, prefix: int) -> None:
+    """Note that a replica holds a prefix, as after a request for it."""
+    holders = view.holders.setdefault(prefix, {})
+    holders.pop(group_id, None)
+    holders[group_id] = view.generations[group_id]
+    if len(holders) > MAX_HOLDERS:
+        del holders[next(iter(holders))]
+    view.holders.move_to_end(prefix)
+    if len(view.holders) > MAX_PREFIXES:
+        view.holders.popitem(last=False)
+
+
+def _note_removed(view: CacheView, group_id: str, prefix: int) -> None:
+    holders = view.holders.get(prefix)
+    if holders is not None:
+        holders.pop(group_id, None)
+        if not holders:
+            del view.holders[prefix]
+
+
+def forget_group(view: CacheView, group_id: str) -> None:
+    """Take all that is known of a replica's cache as void."""
+    view.generations[group_id] += 1
+
+
+def take_event(view: CacheView, event: CacheEvent) -> bool:
+    """Take in a cache event; return False for one that came too late.
+
+    After a gap or a restart, what was known of the replica is void: a
+    removal may be among the events that were lost.
+    """
+    position = (event.incarnation, event.sequence)
+    before = view.positions.get(event.group_id)
+    if before is not None and position <= before:
+        return False
+    view.positions[event.group_id] = position
+    is_next = before is None or position == (before[0], before[1] + 1)
+    if not is_next:
+        forget_group(view, event.group_id)
+    for prefix in event.removed:
+        _note_removed(view, event.group_id, prefix)
+    for prefix in event.stored:
+        note_stored(view, event.group_id, prefix)
+    return True
+
+
+def find_holders(view: CacheView, prefix: int) -> set[str]:
+    """Return the replicas that are thought to hold a prefix."""
+    holders = view.holders.get(prefix, {})
+    return {
+        group_id
+        for group_id, generation in holders.items()
+        if generation == view.generations[group_id]
+    }
+
+
+def _load_of(book: grant_book.GrantBook, held: grant_book.HeldGrant) -> float:
+    used = book.in_flight.get(held.grant.group_id, 0)
+    return (used + 1) / held.grant.places
+
+
+def _keep_nearest(
+    usable: list[grant_book.HeldGrant], tiers: abc.Mapping[str, int]
+) -> list[grant_book.HeldGrant]:
+    def tier_of(held: grant_book.HeldGrant) -> int:
+        return tiers.get(held.grant.data_centre, FAR_TIER)
+
+    nearest = min(tier_of(held) for held in usable)
+    return [held for held in usable if tier_of(held) == nearest]
+
+
+def _keep_bounded(
+    book: grant_book.GrantBook, near: list[grant_book.HeldGrant]
+) -> list[grant_book.HeldGrant]:
+    used = sum(book.in_flight.get(held.grant.group_id, 0) for held in near)
+    places = sum(held.grant.places for held in near)
+    mean = (used + 1) / places
+    return [
+        held
+        for held in near
+        if book.in_flight.get(held.grant.group_id, 0) + 1
+        <= math.ceil(LOAD_BOUND * mean * held.grant.places)
+    ]
+
+
+def choose(
+    book: grant_book.GrantBook,
+    service: str,
+    prefix: int | None,
+    view: CacheView,
+    tiers: abc.Mapping[str, int],
+    now_s: float,
+    excluded: abc.Container[str] = (),
+) -> grant_book.HeldGrant | None:
+    """Return the grant to use for a request, or None if no place is free.
+
+    Parameters
+    ----------
+    book : grant_book.GrantBook
+        Grants and requests in flight.
+    service : str
+        The service asked for.
+    prefix : int or None
+        Key of the prompt's prefix; None if the service has no cache.
+    view : CacheView
+        What is known of the caches.
+    tiers : mapping
+        Distance class by data centre, 0 for the nearest.
+    now_s : float
+        The present time.
+    excluded : container of str
+        Group ids that were tried already.
+    """
+    usable = [
+        held
+        for held in grant_book.find_usable(book, service, now_s)
+        if held.grant.group_id not in excluded
+    ]
+    if not usable:
+        return None
+    near = _keep_nearest(usable, tiers)
+    if prefix is None:
+        return min(near, key=lambda held: _load_of(book, held))
+    bounded = _keep_bounded(book, near) or near
+    holders = find_holders(view, prefix)
+    warm = [held for held in bounded if held.grant.group_id in holders]
+    if warm:
+        return min(warm, key=lambda held: _load_of(book, held))
+    key = str(prefix)
+    return max(
+        bounded,
+        key=lambda held: rendezvous.weigh(key, held.grant.group_id),
+    )
+
+
+def _order_of_centres(
+    centres: t.Iterable[str], tiers: abc.Mapping[str, int]
+) -> list[str]:
+    ordered = sorted(centres, key=lambda dc: (tiers.get(dc, FAR_TIER), dc))
+    nearest = [dc for dc in ordered if tiers.get(dc, FAR_TIER) == 0]
+    # The nearest data centre is visited twice a round.
+    return nearest + ordered
+
+
+def choose_units(
+    entry: str,
+    units: abc.Mapping[str, str],
+    tiers: abc.Mapping[str, int],
+    wanted: int,
+    places_per_unit: float,
+) -> list[str]:
+    """Return the units that an entry asks for grants.
+
+    Few units are all asked.  Of many, each entry asks a subset that holds
+    enough places, spread over the data centres, and that changes little.
+
+    Parameters
+    ----------
+    entry : str
+        The asking entry.
+    units : mapping
+        Data centre by unit, for the units that run the service.
+    tiers : mapping
+        Distance class by data centre, 0 for the nearest.
+    wanted : int
+        Places that the entry could use.
+    places_per_unit : float
+        Places that one unit gives to one entry.
+    """
+    if len(units) <= ALL_UNITS:
+        return sorted(units)
+    needed = math.ceil(HEADROOM * wanted / max(places_per_unit, 1.0))
+    count = min(max(needed, MIN_UNITS), len(units))
+    waiting: dict[str, list[str]] = {}
+    for unit in rendezvous.rank(entry, units):
+        waiting.setdefault(units[unit], []).append(unit)
+    order = _order_of_centres(waiting, tiers)
+    chosen: list[str] = []
+    while len(chosen) < count:
+        for data_centre in order:
+            if waiting[data_centre]:
+                chosen.append(waiting[data_centre].pop(0))
+    return chosen[:count]
