--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -5,6 +5,7 @@
 
     SycamorespoolError
     +-- SettingsError
+    |   +-- SettingsFaults
     +-- ConfigurationError
     |   +-- PatchConflict
     +-- ReplayError
@@ -13,6 +14,7 @@
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
     |   +-- RecordsExpired
+    |   +-- KeyHistoryLost
     +-- PeerError
     |   +-- PeerUnavailable
     |   +-- PeerRejected
@@ -23,6 +25,7 @@
     +-- RequestError
     |   +-- NotRun
     |   +-- OutcomeUnknown
+    |   +-- CallerStalled
     +-- InvariantViolation
 """
 
@@ -49,6 +52,21 @@
         self.problem = problem
 
 
+class SettingsFaults(SettingsError):
+    """A settings file has several faults.
+
+    Parameters
+    ----------
+    faults : tuple of SettingsError
+        All of them.
+    """
+
+    def __init__(self, faults: tuple[SettingsError, ...]) -> None:
+        problem = "".join(f"\n  {fault}" for fault in faults)
+        super().__init__("file", f"{len(faults)} faults", problem)
+        self.faults = faults
+
+
 class ConfigurationError(SycamorespoolError):
     """A patch yields a configuration that is not valid."""
 
@@ -107,6 +125,10 @@
         self.first_offset = first_offset
 
 
+class KeyHistoryLost(PlatformError):
+    """Records of idempotency keys expired before a snapshot held them."""
+
+
 class PeerError(SycamorespoolError):
     """A call to another entry failed."""
 
@@ -199,6 +221,10 @@
         self.status = 502
 
 
+class CallerStalled(RequestError):
+    """The caller did not take the bytes of its answer in time."""
+
+
 class InvariantViolation(SycamorespoolError):
     """A promise of the system does not hold.
 
