Admit requests by fair shares and retry within a budget

Requests polled for a place every 20 ms and took it in no order, retries had no bound but four attempts, and every refusal said one second.

Requests now wait in a fair queue of workspaces and priorities, are woken when a place is free, and are refused at once if shed or if their class would wait for over twice their time; Retry-After follows queue, rate and ramp. Cuts, the retry budget of the workspace, backoff and the circuit of the group decide on the next attempt, and the time left goes along as a header. A place is held from the choice to the end of the attempt, and chosen again if the process slept in between, since the grant may lapse.

--- a/src/sycamorespool/decisions/retries.py
+++ b/src/sycamorespool/decisions/retries.py
@@ -40,6 +40,7 @@
 
 # A cut after which nothing of the attempt can have run.
 HARMLESS = frozenset({Cut.NOT_REACHED, Cut.REFUSED})
+GOING_ON = frozenset({Action.RETRY, Action.RESUME})
 ALLOWED: dict[tuple[bool, Cut], Action] = {
     (True, Cut.NOT_REACHED): Action.RETRY,
     (True, Cut.REFUSED): Action.RETRY,
@@ -109,17 +110,24 @@
     return Action.UNKNOWN if call.may_have_run else Action.NOT_RUN
 
 
+def can_go_on(call: CallTries, cut: Cut, now_s: float) -> bool:
+    """Tell whether a further try is allowed, budget aside."""
+    is_left = call.tries + 1 < MAX_TRIES and now_s < call.deadline_s
+    may_repeat = call.is_idempotent or not call.may_have_run
+    is_allowed = ALLOWED[call.is_idempotent, cut] in GOING_ON
+    return is_left and may_repeat and is_allowed
+
+
 def decide(
     call: CallTries, cut: Cut, budget: RetryBudget, now_s: float
 ) -> Action:
     """Note a cut and return what follows."""
+    goes_on = can_go_on(call, cut, now_s)
     call.tries += 1
     call.may_have_run = call.may_have_run or cut not in HARMLESS
-    action = ALLOWED[call.is_idempotent, cut]
-    is_exhausted = call.tries >= MAX_TRIES or now_s >= call.deadline_s
-    if action is Action.UNKNOWN or is_exhausted:
-        return conclude(call)
-    return action if _take_retry(budget) else conclude(call)
+    if goes_on and _take_retry(budget):
+        return ALLOWED[call.is_idempotent, cut]
+    return conclude(call)
 
 
 def backoff_s(tries: int, fraction: float) -> float:
--- a/src/sycamorespool/decisions/shares.py
+++ b/src/sycamorespool/decisions/shares.py
@@ -149,6 +149,32 @@
     return True
 
 
+def put_back(queue: FairQueue, ticket: Ticket, cost: float = 1.0) -> None:
+    """Undo :func:`take` for a ticket that fits no free place."""
+    workspace = queue.workspaces[ticket.workspace]
+    cls = workspace.classes[ticket.priority]
+    workspace.tag -= cost / workspace.weight
+    cls.tag -= cost / cls.weight
+    cls.tickets.appendleft(ticket)
+    workspace.queued += 1
+    queue.queued += 1
+
+
+def find_share(queue: FairQueue, ticket: Ticket) -> float:
+    """Return the part of the service that a waiting ticket's class gets."""
+    own = queue.workspaces[ticket.workspace]
+    cls = own.classes[ticket.priority]
+    waiting = sum(w.weight for w in queue.workspaces.values() if w.queued)
+    classes = sum(c.weight for c in own.classes.values() if c.tickets)
+    return own.weight / waiting * cls.weight / classes
+
+
+def count_ahead(queue: FairQueue, ticket: Ticket) -> int:
+    """Return how many tickets of its class wait, itself included."""
+    workspace = queue.workspaces[ticket.workspace]
+    return len(workspace.classes[ticket.priority].tickets)
+
+
 def charge(queue: FairQueue, workspace: str, extra: float) -> None:
     """Correct the cost of a request once it is known."""
     flow = queue.workspaces.get(workspace)
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -3,18 +3,20 @@
 import collections.abc
 import contextlib
 import dataclasses
+import random
 
 import trio
 
+from sycamorespool import admission
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import retries
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
 from sycamorespool import relay
 
 RETRY_AFTER_S = 1.0
-PLACE_POLL_S = 0.02
-MAX_ATTEMPTS = 4
+TIMEOUT_HEADER = "x-timeout-s"
 SERVER_ERROR = 500
 
 
@@ -48,35 +50,6 @@
     key: str = ""
 
 
-async def _take_place(
-    env: environment.Environment, call: Call, excluded: set[str]
-) -> models.Grant:
-    started_s = trio.current_time()
-    deadline_s = started_s + env.settings.limits.queue_timeout_s
-    env.held.waiting[call.service] += 1
-    try:
-        while True:
-            now_s = trio.current_time()
-            grant = env.held.find(call.service, now_s, excluded)
-            if grant is not None:
-                env.metrics.observe(
-                    "queue_wait_s",
-                    now_s - started_s,
-                    call.workspace,
-                    call.priority,
-                )
-                return grant
-            if now_s > deadline_s:
-                raise exceptions.NotRun(
-                    "no_capacity",
-                    f"no replica of {call.service} has a free place",
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            await trio.sleep(PLACE_POLL_S)
-    finally:
-        env.held.waiting[call.service] -= 1
-
-
 @contextlib.asynccontextmanager
 async def _attempt(
     env: environment.Environment,
@@ -89,6 +62,7 @@
         "content-type": call.content_type,
         "x-request-id": call.request_id,
         "x-priority": call.priority,
+        TIMEOUT_HEADER: f"{end_s - trio.current_time():.3f}",
     }
     if from_token:
         headers[relay.RESUME_HEADER] = str(from_token)
@@ -102,14 +76,10 @@
         may_reuse=call.is_idempotent,
     )
     idle_s = env.settings.limits.idle_timeout_s
-    env.held.in_flight[grant.group_id] += 1
-    try:
-        async with stream.open_request(
-            env.links, outgoing, idle_s, end_s
-        ) as answer:
-            yield answer
-    finally:
-        env.held.in_flight[grant.group_id] -= 1
+    async with stream.open_request(
+        env.links, outgoing, idle_s, end_s
+    ) as answer:
+        yield answer
 
 
 async def _copy(
@@ -125,33 +95,79 @@
         await passed.copy_whole(answer, call.is_completion)
 
 
+def _find_cut(
+    error: exceptions.BackendError, call: Call, passed: relay.Relay
+) -> retries.Cut:
+    """Return where an attempt was cut."""
+    if isinstance(error, exceptions.BackendNotReached):
+        return retries.Cut.NOT_REACHED
+    if isinstance(error, exceptions.BackendRefused):
+        return retries.Cut.REFUSED
+    return retries.Cut.PARTIAL if passed.is_begun else retries.Cut.SENT
+
+
 @dataclasses.dataclass(slots=True)
 class _Tries:
-    """The attempts made at one call."""
+    """The attempts made at one call, and why the last one failed."""
 
-    excluded: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
+    state: retries.CallTries
+    wish: admission.Wish
+    error: exceptions.RequestError | None = None
 
-    def fail(self, error: Exception) -> exceptions.RequestError:
-        """Return what the caller is told if no attempt follows."""
-        if self.may_have_run:
+    def fail(self) -> exceptions.RequestError:
+        """Return the true answer if no attempt follows."""
+        if self.state.may_have_run:
             return exceptions.OutcomeUnknown(
                 "answer_lost", "the answer of the replica was lost"
             )
-        if isinstance(error, exceptions.NotRun):
-            return error
-        return exceptions.NotRun(
+        return self.error or exceptions.NotRun(
             "backends_refused",
             "no replica took the request",
             retry_after_s=RETRY_AFTER_S,
         )
 
 
-def _may_go_on(call: Call, passed: relay.Relay, tries: _Tries) -> bool:
-    is_resumable = call.is_stream or not passed.is_begun
-    may_repeat = call.is_idempotent or not tries.may_have_run
-    is_left = len(tries.excluded) < MAX_ATTEMPTS
-    return is_resumable and may_repeat and is_left
+def _begin_tries(env: environment.Environment, call: Call) -> _Tries:
+    limits = env.settings.limits
+    now_s = trio.current_time()
+    config = env.fleet.config
+    workspace = config.workspaces.get(call.workspace)
+    ratio = workspace.retry_ratio if workspace else 0.0
+    env.admission.config = config
+    retries.count_request(env.admission.budgets[call.workspace], ratio, now_s)
+    return _Tries(
+        retries.CallTries(
+            call.is_idempotent, now_s + limits.request_timeout_s
+        ),
+        admission.Wish(
+            call.request_id,
+            call.workspace,
+            call.priority,
+            call.service,
+            limits.queue_timeout_s,
+        ),
+    )
+
+
+async def _follow_failure(
+    env: environment.Environment,
+    call: Call,
+    tries: _Tries,
+    cut: retries.Cut,
+) -> None:
+    """Wait until the next attempt, or raise the final answer."""
+    now_s = trio.current_time()
+    budget = env.admission.budgets[call.workspace]
+    could_go_on = retries.can_go_on(tries.state, cut, now_s)
+    action = retries.decide(tries.state, cut, budget, now_s)
+    if action not in retries.GOING_ON:
+        if could_go_on:
+            env.metrics.count("retries_denied", call.workspace)
+        raise tries.fail()
+    env.metrics.count("attempts_retried", call.workspace)
+    if action is retries.Action.RETRY:
+        number = tries.state.tries - 1
+        await trio.sleep(retries.backoff_s(number, random.random()))
 
 
 async def run_call(
@@ -172,22 +188,54 @@
     CallerStalled
         If the caller did not take its answer.
     """
-    limits = env.settings.limits
-    end_s = trio.current_time() + limits.request_timeout_s
-    tries = _Tries()
+    tries = _begin_tries(env, call)
     while True:
-        try:
-            grant = await _take_place(env, call, tries.excluded)
-        except exceptions.NotRun as error:
-            raise tries.fail(error) from error
-        from_token = passed.events.count
-        try:
-            async with _attempt(env, call, grant, from_token, end_s) as answer:
-                await _copy(call, answer, passed)
+        cut = await _try_once(env, call, tries, passed)
+        if cut is None:
             return
-        except exceptions.BackendError as error:
-            tries.excluded.add(grant.group_id)
-            tries.may_have_run |= isinstance(error, exceptions.BackendCut)
-            is_late = trio.current_time() >= end_s
-            if is_late or not _may_go_on(call, passed, tries):
-                raise tries.fail(error) from error
+        if passed.is_begun and not call.is_stream:
+            raise tries.fail()
+        await _follow_failure(env, call, tries, cut)
+
+
+async def _try_once(
+    env: environment.Environment,
+    call: Call,
+    tries: _Tries,
+    passed: relay.Relay,
+) -> retries.Cut | None:
+    """Make one attempt; return where it was cut, or None."""
+    gate = env.admission
+    began_s = trio.current_time()
+    try:
+        async with gate.place(env.held, tries.wish) as grant:
+            wait_s = trio.current_time() - began_s
+            env.metrics.observe(
+                "queue_wait_s", wait_s, call.workspace, call.priority
+            )
+            return await _attempt_at(env, call, tries, passed, grant)
+    except exceptions.NotRun as error:
+        tries.error = error
+        raise tries.fail() from error
+
+
+async def _attempt_at(
+    env: environment.Environment,
+    call: Call,
+    tries: _Tries,
+    passed: relay.Relay,
+    grant: models.Grant,
+) -> retries.Cut | None:
+    end_s = tries.state.deadline_s
+    from_token = passed.events.count
+    try:
+        async with _attempt(env, call, grant, from_token, end_s) as answer:
+            await _copy(call, answer, passed)
+    except exceptions.BackendError as error:
+        tries.wish.excluded.add(grant.group_id)
+        cut = _find_cut(error, call, passed)
+        if cut is not retries.Cut.REFUSED:
+            env.admission.note_result(grant.group_id, False)
+        return cut
+    env.admission.note_result(grant.group_id, True)
+    return None
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from sycamorespool import admission
 from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import replay
 from sycamorespool.entries import transport
@@ -36,6 +37,8 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    admission : admission.Admission
+        Queues, circuits and retry budgets.
     links : stream.Links
         The idle connections to backend servers.
     metrics : metrics.Metrics
@@ -57,8 +60,11 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
+    # Quoted, as a field hides its module once it has a default.
+    admission: "admission.Admission" = dataclasses.field(
+        default_factory=admission.Admission
+    )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
-    # Quoted, as the field hides the module once it has its default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -41,3 +41,24 @@
             if is_usable and (best is None or free > best[0]):
                 best = (free, grant)
         return best[1] if best else None
+
+    def begin(self, grant: models.Grant) -> bool:
+        """Take a place."""
+        self.in_flight[grant.group_id] += 1
+        return True
+
+    def end(self, grant: models.Grant) -> None:
+        """Give a place back."""
+        self.in_flight[grant.group_id] -= 1
+
+    def count_used(self, group_id: str) -> int:
+        """Return the requests in flight at a group."""
+        return self.in_flight[group_id]
+
+    def count_places(self, service: str) -> int:
+        """Return the places that the grants of a service give."""
+        return sum(
+            grant.places
+            for grant, _ in self.grants.values()
+            if grant.service == service
+        )
