--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,6 +14,8 @@
 MODULES = {
     "claimants": "benchmarks.claimants",
     "relay": "benchmarks.relay",
+    "retries": "benchmarks.retries",
+    "shares": "benchmarks.shares",
     "replay": "benchmarks.replay",
 }
 
--- /dev/null
+++ b/benchmarks/shares.py
@@ -0,0 +1,145 @@
+"""Share error over the fleet, with and without the exchange of usage.
+
+A simulation in steps: entries have fair queues and places, each request
+holds its place for one step, and callers of a workspace reach some of the
+entries only.  The share error is half the sum of the differences between
+the shares received and those due, 0 to 1.
+"""
+
+import collections
+import random
+import typing as t
+
+from sycamorespool.decisions import shares
+
+ENTRIES = 9
+PLACES = 90
+STEPS = 200
+SETTLED = 50
+REPORT_STEPS = 10
+WEIGHTS = {"a": 2.0, "b": 1.0, "c": 1.0}
+PRIORITIES = {"high": 4.0, "normal": 2.0, "low": 1.0}
+# Requests a step that arrive at each entry, by workspace.
+SPREADS = {
+    "even": {"a": [40] * 9, "b": [40] * 9, "c": [40] * 9},
+    "a_at_one": {"a": [120] + [0] * 8, "b": [40] * 9, "c": [40] * 9},
+    "each_apart": {
+        "a": [60, 60, 60] + [0] * 6,
+        "b": [0] * 3 + [60, 60, 60] + [0] * 3,
+        "c": [0] * 6 + [60, 60, 60],
+    },
+    "c_idle": {"a": [60] + [0] * 8, "b": [40] * 9, "c": [0] * 9},
+}
+METHODS = ("queues_alone", "weights", "weights_and_claims")
+
+
+class _Entry:
+    def __init__(self) -> None:
+        self.queue = shares.FairQueue(400)
+        self.places = PLACES / ENTRIES
+        self.saved = 0.0
+        self.local: dict[str, float] = {}
+        self.demands: dict[str, float] = {}
+
+    def arrive(self, counts: dict[str, int], number: int) -> None:
+        for name, count in counts.items():
+            weight = self.local.get(name, WEIGHTS[name])
+            for index in range(count):
+                ticket = shares.Ticket(
+                    f"{name}{number}/{index}", name, "normal", float(number)
+                )
+                weights = shares.Weights(weight, PRIORITIES)
+                shares.offer(self.queue, ticket, weights)
+        self.demands = {
+            name: float(workspace.queued)
+            for name, workspace in self.queue.workspaces.items()
+        }
+
+    def serve(self) -> collections.Counter[str]:
+        served: collections.Counter[str] = collections.Counter()
+        self.saved += self.places
+        while self.saved >= 1.0:
+            ticket = shares.take(self.queue)
+            if ticket is None:
+                self.saved = 0.0
+                break
+            self.saved -= 1.0
+            served[ticket.workspace] += 1
+        return served
+
+
+def _exchange(entries: list[_Entry], has_claims: bool) -> None:
+    usages = [shares.Usage(e.demands, e.places) for e in entries]
+    for number, entry in enumerate(entries):
+        others = usages[:number] + usages[number + 1 :]
+        entry.local, claim = shares.correct_weights(
+            usages[number], others, WEIGHTS
+        )
+        if has_claims:
+            entry.places = claim
+
+
+def _measure(spread: dict[str, list[int]], method: str) -> dict[str, float]:
+    entries = [_Entry() for _ in range(ENTRIES)]
+    served: collections.Counter[str] = collections.Counter()
+    for step in range(STEPS):
+        for index, entry in enumerate(entries):
+            counts = {name: row[index] for name, row in spread.items()}
+            entry.arrive(counts, step)
+        if step % REPORT_STEPS == 1 and method != "queues_alone":
+            _exchange(entries, method == "weights_and_claims")
+        for entry in entries:
+            done = entry.serve()
+            if step >= SETTLED:
+                served.update(done)
+    demands = {name: float(sum(row)) for name, row in spread.items()}
+    due = shares.fill(PLACES, WEIGHTS, demands)
+    total = sum(served.values())
+    error = sum(
+        abs(served[name] / total - due[name] / PLACES) for name in WEIGHTS
+    )
+    return {
+        "share_error": error / 2,
+        "served_per_step": total / (STEPS - SETTLED),
+    }
+
+
+def _measure_drafts(is_fair: bool) -> dict[str, float]:
+    """Return the wait of restock drafts while others flood, in steps."""
+    chance = random.Random(1)
+    queue = shares.FairQueue(1000)
+    waits: list[float] = []
+    for step in range(400):
+        arrivals = [("b", "low")] * 30 + [("a", "low")] * 10
+        arrivals += [("a", "high")] * 2
+        chance.shuffle(arrivals)
+        for index, (name, priority) in enumerate(arrivals):
+            kept = priority if is_fair else "normal"
+            ticket = shares.Ticket(
+                f"{priority}/{step}/{index}",
+                name if is_fair else "all",
+                kept,
+                float(step),
+            )
+            shares.offer(queue, ticket, shares.Weights(1.0, PRIORITIES))
+        for place in range(10):
+            ticket_taken = shares.take(queue)
+            assert ticket_taken is not None
+            if ticket_taken.ticket_id.startswith("high"):
+                waits.append(step + place / 10 - ticket_taken.arrived_s)
+    waits.sort()
+    late = waits[int(0.95 * len(waits))] if waits else float("inf")
+    return {"drafts_served": len(waits), "wait_p95_steps": late}
+
+
+def run() -> dict[str, t.Any]:
+    """Measure the share error for each spread of callers and method."""
+    results: dict[str, t.Any] = {
+        spread: {method: _measure(row, method) for method in METHODS}
+        for spread, row in SPREADS.items()
+    }
+    results["restock_drafts"] = {
+        "one_queue": _measure_drafts(False),
+        "fair_queue": _measure_drafts(True),
+    }
+    return results
