Give started processes the import path of whoever starts them

Cause: a test of processes failed after 30 s when pytest was run without make, since the child processes had no import path; the wait hid that. After: passes both ways. Two new tests imported objects where the layout allows modules only; they name the module now.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hashlib
+import os
 import pathlib
 import signal
 import socket
@@ -109,6 +110,7 @@
                 [sys.executable, "-m", "sycamorespool", *words],
                 stdout=log_file,
                 stderr=log_file,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
             )
         process = Process(name, popen, address, data_centre)
         self.processes[name] = process
--- a/tests/decisions/test_attempts.py
+++ b/tests/decisions/test_attempts.py
@@ -1,12 +1,11 @@
 """Tests of a caller's stream over several attempts."""
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 
 from sycamorespool.decisions import attempts
 
-RUN = settings(derandomize=True, database=None, deadline=None)
+RUN = hypothesis.settings(derandomize=True, database=None, deadline=None)
 TOKENS = [b"t%d" % number for number in range(6)]
 
 
@@ -54,7 +53,7 @@
 
 class TestStream:
     @RUN
-    @given(
+    @hypothesis.given(
         st.lists(st.integers(0, 80), max_size=3),
         st.integers(1, 40),
     )
@@ -62,7 +61,9 @@
         assert relay(cuts, steps) == encode(TOKENS)
 
     @RUN
-    @given(st.lists(st.integers(0, 80), max_size=3), st.integers(1, 40))
+    @hypothesis.given(
+        st.lists(st.integers(0, 80), max_size=3), st.integers(1, 40)
+    )
     def test_engine_that_ignores_the_offset_is_borne(self, cuts, steps):
         whole = relay(cuts, steps, is_offset_kept=False)
         assert whole == encode(TOKENS)
--- a/tests/decisions/test_key_world.py
+++ b/tests/decisions/test_key_world.py
@@ -3,8 +3,7 @@
 import collections
 import os
 
-from hypothesis import Phase
-from hypothesis import settings
+import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
@@ -16,8 +15,8 @@
 from tests.decisions import key_records
 
 EXAMPLES = 20000 if os.environ.get("SOAK") else 150
-FIND = (Phase.generate,)
-RUN = settings(
+FIND = (hypothesis.Phase.generate,)
+RUN = hypothesis.settings(
     max_examples=EXAMPLES,
     stateful_step_count=40,
     derandomize=True,
@@ -304,5 +303,8 @@
         monkeypatch.setattr(*MECHANISMS[mechanism])
         with pytest.raises(AssertionError):
             stateful.run_state_machine_as_test(
-                World, settings=settings(RUN, max_examples=4000, phases=FIND)
+                World,
+                settings=hypothesis.settings(
+                    RUN, max_examples=4000, phases=FIND
+                ),
             )
