Give operators a client that explains and says what is in force

Cause: patches were sent by hand; nobody saw on which entries one was in force, nor why a VM or a request was where it was. Fire runs a method before it sees that a further word is left over, so 'drain palermo now' drained: a command now returns a task that runs once every word is understood, and words are taken as text (1e3 is a name). Seen on the way: with cold_limit 1 and two entries, one entry holds the only place of a cold replica for good and the other refuses its callers.

--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -1,23 +1,39 @@
 """The command line."""
 
+from collections import abc
 import os
+import pathlib
 import signal
 import sys
 import time
+import typing as t
 
-from absl import logging
-import fire
+import msgspec
 import trio
 
+import sycamorespool
+from sycamorespool import command_words
 from sycamorespool import daemon
+from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import settings
+from sycamorespool import logs
+from sycamorespool.operators import commands
+from sycamorespool import settings as settings_files
 from sycamorespool.standins import engine
 from sycamorespool.standins import platform
 from sycamorespool.standins import service
 
+EXIT_OF_ERROR: dict[type[exceptions.SycamorespoolError], int] = {
+    exceptions.SettingsError: commands.EXIT_USAGE,
+    exceptions.ConfigurationError: commands.EXIT_INVALID,
+    exceptions.OperatorAnswerLost: commands.EXIT_UNKNOWN,
+    exceptions.OperatorRefused: commands.EXIT_REFUSED,
+}
 
-async def _run_until_signal(serve, *args) -> None:
+
+async def _run_until_signal(
+    serve: abc.Callable[..., abc.Awaitable[None]], *args: t.Any
+) -> None:
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve, *args, stop)
@@ -27,82 +43,245 @@
                 break
 
 
-def _split(words: str | tuple[str, ...]) -> list[str]:
-    # Fire turns a list with commas into a tuple.
-    names = words if isinstance(words, tuple) else words.split(",")
-    return [name for name in names if name]
-
-
 class Standin:
     """Small stand-ins of the outside systems."""
 
+    @command_words.command
     def platform(
-        self, listen: str, load_s: float = 0.5, parallel_loads: int = 8
-    ) -> None:
+        self, *, listen: str, load_s: float = 0.5, parallel_loads: int = 8
+    ) -> command_words.Task:
         """Serve a stand-in platform."""
-        trio.run(
-            _run_until_signal, platform.serve, listen, load_s, parallel_loads
+        return command_words.Task(
+            lambda: trio.run(
+                _run_until_signal,
+                platform.serve,
+                listen,
+                load_s,
+                parallel_loads,
+            )
         )
 
+    @command_words.command
     def engine(
         self,
+        *,
         vm: str,
         listen: str,
         platform_address: str,
         token_s: float = 0.01,
-    ) -> None:
+    ) -> command_words.Task:
         """Serve a stand-in model engine."""
-        started = int(time.time() * 1000)
-        standin = engine.Engine(vm, started, platform_address, token_s)
-        trio.run(_run_until_signal, engine.serve, standin, listen)
 
-    def engines(
-        self,
-        vms: str,
-        listen: str,
-        platform_address: str,
-        token_s: float = 0.01,
-    ) -> None:
-        """Serve several stand-in model engines in one process.
-
-        ``vms`` and ``listen`` are lists separated by commas.
-        """
-        started = int(time.time() * 1000)
-        standins = {
-            address: engine.Engine(vm, started, platform_address, token_s)
-            for vm, address in zip(_split(vms), _split(listen), strict=True)
-        }
-        trio.run(_run_until_signal, engine.serve_many, standins)
-
-    def service(self, vm: str, listen: str) -> None:
+        def run() -> None:
+            started = int(time.time() * 1000)
+            standin = engine.Engine(vm, started, platform_address, token_s)
+            trio.run(_run_until_signal, engine.serve, standin, listen)
+
+        return command_words.Task(run)
+
+    @command_words.command
+    def service(self, *, vm: str, listen: str) -> command_words.Task:
         """Serve a stand-in plain service."""
-        standin = service.PlainService(vm, int(time.time() * 1000))
-        trio.run(_run_until_signal, service.serve, standin, listen)
+
+        def run() -> None:
+            standin = service.PlainService(vm, int(time.time() * 1000))
+            trio.run(_run_until_signal, service.serve, standin, listen)
+
+        return command_words.Task(run)
+
+
+class Keys:
+    """Keyed calls whose outcome is not known."""
+
+    def __init__(self, options: command_words.Options) -> None:
+        self._options = options
+
+    @command_words.command
+    def list(self) -> command_words.Task:
+        """List the intents that have no outcome."""
+        return command_words.Task(
+            lambda: commands.list_keys(self._options.connect())
+        )
+
+    @command_words.command
+    def settle(
+        self,
+        workspace: str,
+        key: str,
+        attempt_id: str,
+        resolution: str,
+        *,
+        author: str = "",
+    ) -> command_words.Task:
+        """Record whether a call ran: RESOLUTION is ran or not_run."""
+
+        def run() -> commands.Result:
+            if resolution not in ("ran", "not_run"):
+                raise exceptions.SettingsError(
+                    "command", "RESOLUTION", "wanted ran or not_run"
+                )
+            operator = self._options.connect()
+            return commands.settle_key(
+                operator, workspace, key, attempt_id, resolution, author
+            )
+
+        return command_words.Task(run)
+
+
+def _read_patch(file: str) -> dict[str, t.Any]:
+    try:
+        is_stdin = file == "-"
+        data = (
+            sys.stdin.buffer.read()
+            if is_stdin
+            else pathlib.Path(file).read_bytes()
+        )
+        return msgspec.json.decode(data, type=dict[str, t.Any])
+    except (OSError, msgspec.DecodeError) as error:
+        raise exceptions.ConfigurationError(f"{file}: {error}") from error
 
 
 class Commands:
-    """The commands of sycamorespool."""
+    """Serve models whose replicas span several VMs, and operate the fleet.
+
+    Commands of operators take --address IP:port[,IP:port...] (or
+    SYCAMORESPOOL_ADDRESS) and --key-file FILE (or
+    SYCAMORESPOOL_OPERATOR_KEY); those that print data take --json.
+
+    Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 conflict,
+    4 invalid, 5 outcome unknown, 6 not in force everywhere, 7 refused.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, options: command_words.Options) -> None:
+        self._options = options
+        self.keys = Keys(options)
         self.standin = Standin()
 
-    def entry(self, settings_file: str) -> None:
-        """Run an entry."""
-        trio.run(daemon.run, settings.load(settings_file))
+    def _operate(
+        self, command: abc.Callable[..., commands.Result], *args: t.Any
+    ) -> command_words.Task:
+        return command_words.Task(
+            lambda: command(self._options.connect(), *args)
+        )
+
+    @command_words.command
+    def entry(self, settings: str) -> command_words.Task:
+        """Run an entry with the settings of an INI file."""
+        return command_words.Task(
+            lambda: trio.run(daemon.run, settings_files.load(settings))
+        )
+
+    @command_words.command
+    def check_settings(self, settings: str) -> command_words.Task:
+        """Check a settings file and name all its faults."""
+
+        def run() -> commands.Result:
+            settings_files.load(settings)
+            return commands.Result({"ok": True}, f"{settings}: ok")
+
+        return command_words.Task(run)
+
+    @command_words.command
+    def patch(
+        self,
+        file: str,
+        *,
+        base_version: int,
+        patch_id: str = "",
+        author: str = "",
+        wait_s: float = commands.IN_FORCE_WAIT_S,
+    ) -> command_words.Task:
+        """Submit a JSON merge patch (FILE, or - for standard input)."""
+
+        def run() -> commands.Result:
+            return commands.submit_patch(
+                self._options.connect(),
+                base_version,
+                _read_patch(file),
+                patch_id or environment.make_id(),
+                author,
+                wait_s,
+            )
+
+        return command_words.Task(run)
+
+    @command_words.command
+    def look_up(self, patch_id: str) -> command_words.Task:
+        """Tell what became of a patch whose answer was lost."""
+        return self._operate(commands.look_up_patch, patch_id)
+
+    @command_words.command
+    def drain(
+        self, name: str, *, wait_s: float = commands.IN_FORCE_WAIT_S
+    ) -> command_words.Task:
+        """Take a data centre or a VM out of service."""
+        patch_id = environment.make_id()
+        return self._operate(
+            commands.set_in_service, name, False, patch_id, wait_s
+        )
 
-    def check_settings(self, settings_file: str) -> str:
-        """Check a settings file."""
-        settings.load(settings_file)
-        return f"{settings_file}: ok"
+    @command_words.command
+    def restore(
+        self, name: str, *, wait_s: float = commands.IN_FORCE_WAIT_S
+    ) -> command_words.Task:
+        """Bring a data centre or a VM back into service."""
+        patch_id = environment.make_id()
+        return self._operate(
+            commands.set_in_service, name, True, patch_id, wait_s
+        )
+
+    @command_words.command
+    def configuration(self) -> command_words.Task:
+        """Show the configuration in force; --json gives the document."""
+        return self._operate(commands.show_configuration)
+
+    @command_words.command
+    def status(self, *, metrics: bool = False) -> command_words.Task:
+        """Show every entry, or with --metrics the values of one."""
+        if metrics:
+            return self._operate(commands.show_metrics)
+        return self._operate(commands.show_status)
+
+    @command_words.command
+    def groups(self, *, service: str = "") -> command_words.Task:
+        """List the groups, of one service if given, and their state."""
+        return self._operate(commands.list_groups, service)
+
+    @command_words.command
+    def explain(self, name: str) -> command_words.Task:
+        """Say why a VM, group, unit, patch or request is where it is."""
+        return self._operate(commands.explain, name)
+
+
+def _print_result(result: commands.Result, as_json: bool) -> None:
+    if as_json:
+        data = msgspec.json.format(msgspec.json.encode(result.data), indent=2)
+        print(data.decode())
+    else:
+        print(result.text)
+
+
+def run(words: list[str]) -> int:
+    """Run one command and return its exit code."""
+    if words == ["--version"]:
+        print(f"{command_words.PROGRAM} {sycamorespool.__version__}")
+        return commands.EXIT_OK
+    try:
+        options, others = command_words.take_options(words)
+        task = command_words.parse(Commands, others, options)
+        result = task.run() if task else None
+    except exceptions.SycamorespoolError as error:
+        print(f"{command_words.PROGRAM}: {error}", file=sys.stderr)
+        codes = (c for k, c in EXIT_OF_ERROR.items() if isinstance(error, k))
+        return next(codes, commands.EXIT_FAILED)
+    if result is None:
+        return commands.EXIT_OK
+    _print_result(result, options.json)
+    return result.exit_code
 
 
 def main() -> None:
     """Run one command."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    logs.set_up()
     os.environ.setdefault("PAGER", "cat")
-    try:
-        fire.Fire(Commands, name="sycamorespool")
-    except exceptions.SycamorespoolError as error:
-        print(f"sycamorespool: {error}", file=sys.stderr)
-        sys.exit(2)
+    sys.exit(run(sys.argv[1:]))
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -17,12 +17,13 @@
 from sycamorespool.operators import api
 from sycamorespool import owner
 from sycamorespool import settings
+from sycamorespool import survey
 
 READINESS_NOTICE_S = 0.5
 
 
 def _make_peer_handlers(
-    env: environment.Environment, granter: grantor.Grantor
+    env: environment.Environment, own: owner.Owner, granter: grantor.Grantor
 ) -> transport.Handlers:
     """Return the handler of each message that other entries send."""
 
@@ -40,6 +41,7 @@
     return {
         transport.Ping: answer_ping,
         transport.GrantsWanted: give_grants,
+        transport.StateWanted: survey.make_handler(env, own),
     }
 
 
@@ -80,7 +82,9 @@
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
         )
         await nursery.start(
-            transport.serve, listen.peers, _make_peer_handlers(env, granter)
+            transport.serve,
+            listen.peers,
+            _make_peer_handlers(env, own, granter),
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -10,6 +10,7 @@
 from sycamorespool.backend_servers import stream
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import journal
 from sycamorespool import models
 
 RETRY_AFTER_S = 1.0
@@ -111,11 +112,34 @@
     OutcomeUnknown
         If a replica may have run it.
     """
+    trace = env.journal.open(
+        call.request_id, call.workspace, call.priority, call.service
+    )
+    try:
+        async with _open_attempts(env, call, trace) as answer:
+            yield answer
+    except exceptions.NotRun as error:
+        trace.change("not_run", error.code)
+        raise
+    except exceptions.OutcomeUnknown as error:
+        trace.change("outcome_unknown", error.code)
+        raise
+    except BaseException:
+        trace.change("cut")
+        raise
+    trace.change("served")
+
+
+@contextlib.asynccontextmanager
+async def _open_attempts(
+    env: environment.Environment, call: Call, trace: journal.Trace
+) -> collections.abc.AsyncIterator[stream.BackendAnswer]:
     excluded: set[str] = set()
     async with contextlib.AsyncExitStack() as stack:
         answer = None
         while answer is None:
             grant = await _take_place(env, call, excluded)
+            trace.send(grant.group_id)
             try:
                 answer = await stack.enter_async_context(
                     _attempt(env, call, grant)
--- a/src/sycamorespool/entries/transport.py
+++ b/src/sycamorespool/entries/transport.py
@@ -41,13 +41,33 @@
     answer: models.GrantAnswer
 
 
+class StateWanted(msgspec.Struct, frozen=True, tag="state_wanted"):
+    """Ask an entry for its state, on behalf of an operator."""
+
+    entry: str
+
+
+class StateGiven(msgspec.Struct, frozen=True, tag="state_given"):
+    """The state of the entry that was asked."""
+
+    state: models.EntryState
+
+
 class Refused(msgspec.Struct, frozen=True, tag="refused"):
     """The entry cannot answer the call."""
 
     reason: str
 
 
-Message: t.TypeAlias = Ping | Pong | GrantsWanted | GrantsGiven | Refused
+Message: t.TypeAlias = (
+    Ping
+    | Pong
+    | GrantsWanted
+    | GrantsGiven
+    | StateWanted
+    | StateGiven
+    | Refused
+)
 Handler: t.TypeAlias = collections.abc.Callable[
     [t.Any], collections.abc.Awaitable[Message]
 ]
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -11,6 +11,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -37,6 +38,8 @@
         The grants under which this entry sends work.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -54,10 +57,13 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
-    # Quoted, as the field hides the module once it has its default.
+    # Quoted, as a field hides its module once it has a default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -24,6 +24,10 @@
     +-- RequestError
     |   +-- NotRun
     |   +-- OutcomeUnknown
+    +-- OperatorError
+    |   +-- OperatorUnreached
+    |   +-- OperatorAnswerLost
+    |   +-- OperatorRefused
     +-- InvariantViolation
 """
 
@@ -215,6 +219,35 @@
         self.status = 502
 
 
+class OperatorError(SycamorespoolError):
+    """A call of an operator's client failed."""
+
+
+class OperatorUnreached(OperatorError):
+    """No entry answered; the call had no effect."""
+
+
+class OperatorAnswerLost(OperatorError):
+    """The answer was lost; the call may have had effect."""
+
+
+class OperatorRefused(OperatorError):
+    """An entry refused the call; it had no effect.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the refusal.
+    detail : str
+        What the entry gave as its reason.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(f"entry refused with {status}: {detail}")
+        self.status = status
+        self.detail = detail
+
+
 class InvariantViolation(SycamorespoolError):
     """A promise of the system does not hold.
 
--- a/src/sycamorespool/models.py
+++ b/src/sycamorespool/models.py
@@ -115,6 +115,31 @@
 Order = JoinOrder | LeaveOrder | LoadOrder
 
 
+class EntryState(msgspec.Struct, frozen=True):
+    """What an entry tells of itself to operators.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration in force at the entry.
+    offset : int
+        Offset of the last record of the fleet stream that it applied.
+    units_owned : int
+        Units that it owns.
+    groups : dict
+        Whether each group of the units that it owns is whole.
+    """
+
+    entry: str
+    data_centre: str
+    is_ready: bool
+    version: int
+    offset: int
+    requests_open: int
+    units_owned: int
+    groups: dict[str, bool] = {}
+
+
 class GrantAsk(msgspec.Struct, frozen=True):
     """What an entry asks of the owner of a unit.
 
--- a/src/sycamorespool/operators/api.py
+++ b/src/sycamorespool/operators/api.py
@@ -1,74 +1,42 @@
 """The operators' API of an entry."""
 
+import collections
+from collections import abc
 import hmac
+import typing as t
 
 import msgspec
 import trio
 
 from sycamorespool import asgi
 from sycamorespool import environment
-from sycamorespool import exceptions
+from sycamorespool.operators import explain
+from sycamorespool.operators import patches
 from sycamorespool import owner
-from sycamorespool import records
-
-VERDICT_WAIT_S = 3.0
-
-
-class PatchRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """A patch that an operator submits."""
-
-    base_version: int
-    patch: dict[str, object]
-    patch_id: str = ""
-    author: str = ""
-
-
-async def submit_patch(
-    env: environment.Environment, body: bytes
-) -> asgi.Response:
-    """Append a patch and answer with what replay decides about it."""
-    try:
-        wanted = msgspec.json.decode(body, type=PatchRequest)
-    except msgspec.DecodeError as error:
-        return asgi.answer_json({"status": "invalid", "detail": str(error)})
-    record = records.ConfigPatch(
-        wanted.patch_id or environment.make_id(),
-        wanted.base_version,
-        wanted.patch,
-        wanted.author,
-    )
-    try:
-        await env.log.append(records.FLEET_STREAM, [record])
-    except exceptions.PlatformUnavailable as error:
-        return asgi.answer_json({"status": "refused", "detail": str(error)})
-    except exceptions.OutcomeLost:
-        pass
-    with trio.move_on_after(VERDICT_WAIT_S):
-        while record.record_id not in env.fleet.verdicts:
-            await env.fleet_changed.wait()
-    verdict = env.fleet.verdicts.get(record.record_id)
-    if verdict is None:
-        return asgi.answer_json(
-            {"status": "unknown", "patch_id": record.record_id}
-        )
-    return asgi.answer_json(
-        {
-            "status": verdict.status,
-            "detail": verdict.detail,
-            "version": verdict.version,
-            "patch_id": record.record_id,
-        }
-    )
+from sycamorespool import survey
+
+Answer: t.TypeAlias = abc.Awaitable[asgi.Response]
+NOT_FOUND = asgi.Response(404, b'{"error": "not found"}')
+WRONG_KEY = asgi.Response(401, b'{"error": "wrong operator key"}')
+
+
+class GroupState(msgspec.Struct, frozen=True):
+    """One group; ``is_whole`` is None if its owner was not asked."""
 
+    group: str
+    service: str
+    unit: str
+    members: tuple[str, ...]
+    is_whole: bool | None
 
-def describe_status(env: environment.Environment) -> dict[str, object]:
+
+def describe_status(
+    env: environment.Environment, own: owner.Owner
+) -> dict[str, object]:
     """Return the state of this entry."""
+    state = survey.describe_entry(env, own, trio.current_time())
     return {
-        "entry": env.name,
-        "is_ready": env.is_ready,
-        "version": env.fleet.version,
-        "offset": env.fleet.offset,
-        "requests_open": env.requests_open,
+        **msgspec.to_builtins(state),
         "owners": {
             unit: record.entry for unit, record in env.fleet.owners.items()
         },
@@ -78,47 +46,100 @@
 
 
 def describe_groups(
-    env: environment.Environment, own: owner.Owner
-) -> list[dict[str, object]]:
-    """Return the groups, with what this entry knows of their state."""
-    now_s = trio.current_time()
+    env: environment.Environment, wholeness: abc.Mapping[str, bool]
+) -> list[GroupState]:
+    """Return the groups with what is known of their state."""
     return [
-        {
-            "group": group.group_id,
-            "service": group.service,
-            "unit": group.unit,
-            "members": group.members,
-            "is_whole": own.is_whole(group.group_id, now_s)
-            if own.owns(group.unit)
-            else None,
-        }
+        GroupState(
+            group.group_id,
+            group.service,
+            group.unit,
+            group.members,
+            wholeness.get(group.group_id),
+        )
         for group in env.fleet.groups.values()
     ]
 
 
+def count_vms(env: environment.Environment) -> dict[str, dict[str, object]]:
+    """Return the data centres, whether in service and with how many VMs."""
+    counts = collections.Counter(vm.data_centre for vm in env.vms.values())
+    config = env.fleet.config
+    return {
+        name: {"in_service": config.is_in_service(name), "vms": counts[name]}
+        for name in sorted(counts.keys() | config.data_centres.keys())
+    }
+
+
+class OperatorsApi:
+    """Handlers of the operators' API, by method and path."""
+
+    def __init__(self, env: environment.Environment, own: owner.Owner) -> None:
+        self._env = env
+        self._own = own
+        self._routes: dict[
+            tuple[str, str], abc.Callable[[asgi.Request], Answer]
+        ] = {
+            ("POST", "/patch"): self._take_patch,
+            ("GET", "/patch"): self._look_patch_up,
+            ("GET", "/status"): self._tell_status,
+            ("GET", "/entries"): self._ask_entries,
+            ("GET", "/groups"): self._list_groups,
+            ("GET", "/configuration"): self._tell_configuration,
+            ("GET", "/data_centres"): self._list_data_centres,
+            ("GET", "/explain"): self._explain,
+        }
+
+    async def handle(self, request: asgi.Request) -> asgi.Response:
+        """Answer one request."""
+        key = request.headers.get("x-operator-key", "").encode()
+        wanted = self._env.settings.operators.key.encode()
+        if not hmac.compare_digest(key, wanted):
+            return WRONG_KEY
+        route = self._routes.get((request.method, request.path))
+        return await route(request) if route else NOT_FOUND
+
+    async def _take_patch(self, request: asgi.Request) -> asgi.Response:
+        return await patches.submit(self._env, request.body)
+
+    async def _look_patch_up(self, request: asgi.Request) -> asgi.Response:
+        patch_id = request.query.get("patch_id", "")
+        return asgi.answer_json(patches.look_up(self._env, patch_id))
+
+    async def _tell_status(self, request: asgi.Request) -> asgi.Response:
+        return asgi.answer_json(describe_status(self._env, self._own))
+
+    async def _ask_entries(self, request: asgi.Request) -> asgi.Response:
+        found = await survey.ask_entries(self._env, self._own)
+        return asgi.answer_json(found)
+
+    async def _list_groups(self, request: asgi.Request) -> asgi.Response:
+        """List the groups; ``?fleet=1`` asks their owners as well."""
+        now_s = trio.current_time()
+        states = [survey.describe_entry(self._env, self._own, now_s)]
+        if request.query.get("fleet") == "1":
+            found = await survey.ask_entries(self._env, self._own)
+            states += [state for state in found.values() if state]
+        wholeness = {k: v for state in states for k, v in state.groups.items()}
+        return asgi.answer_json(describe_groups(self._env, wholeness))
+
+    async def _tell_configuration(
+        self, request: asgi.Request
+    ) -> asgi.Response:
+        fleet = self._env.fleet
+        return asgi.answer_json(
+            {"version": fleet.version, "document": fleet.document}
+        )
+
+    async def _list_data_centres(self, request: asgi.Request) -> asgi.Response:
+        return asgi.answer_json(count_vms(self._env))
+
+    async def _explain(self, request: asgi.Request) -> asgi.Response:
+        view = explain.View(self._env, self._own, trio.current_time())
+        name = request.query.get("name", "")
+        return asgi.answer_json(explain.explain(view, name))
+
+
 def make_app(env: environment.Environment, own: owner.Owner) -> asgi.App:
     """Make the ASGI application towards operators."""
-
-    async def handle(request: asgi.Request) -> asgi.Response:
-        key = request.headers.get("x-operator-key", "")
-        if not hmac.compare_digest(
-            key.encode(), env.settings.operators.key.encode()
-        ):
-            return asgi.answer_json({"error": "wrong operator key"}, 401)
-        match request.method, request.path:
-            case "POST", "/patch":
-                return await submit_patch(env, request.body)
-            case "GET", "/status":
-                return asgi.answer_json(describe_status(env))
-            case "GET", "/groups":
-                return asgi.answer_json(describe_groups(env, own))
-            case "GET", "/configuration":
-                return asgi.answer_json(
-                    {
-                        "version": env.fleet.version,
-                        "document": env.fleet.document,
-                    }
-                )
-        return asgi.answer_json({"error": "not found"}, 404)
-
-    return asgi.make_app(handle)
+    return asgi.make_app(OperatorsApi(env, own).handle)
--- /dev/null
+++ b/src/sycamorespool/operators/commands.py
@@ -0,0 +1,325 @@
+"""What operators' commands do, apart from the command line itself."""
+
+from collections import abc
+import dataclasses
+import time
+import typing as t
+import urllib.parse
+
+from sycamorespool import exceptions
+from sycamorespool.operators import client
+from sycamorespool.operators import tables
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_INVALID = 4
+EXIT_UNKNOWN = 5
+EXIT_NOT_EVERYWHERE = 6
+EXIT_REFUSED = 7
+
+EXIT_OF_STATUS = {
+    "accepted": EXIT_OK,
+    "conflict": EXIT_CONFLICT,
+    "invalid": EXIT_INVALID,
+    "unknown": EXIT_UNKNOWN,
+    "refused": EXIT_REFUSED,
+}
+IN_FORCE_POLL_S = 0.25
+IN_FORCE_WAIT_S = 10.0
+UNSETTLED = frozenset({"unknown", "refused"})
+WHOLENESS = {True: "whole", False: "not whole", None: "not known"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a command prints and its exit code.
+
+    Parameters
+    ----------
+    data : object
+        For ``--json``.
+    text : str
+        For people.
+    """
+
+    data: t.Any
+    text: str
+    exit_code: int = EXIT_OK
+
+
+def _lag_behind(entries: dict[str, t.Any], version: int) -> list[str]:
+    return [
+        name
+        for name, state in entries.items()
+        if state is None or state.get("version", -1) < version
+    ]
+
+
+def _wait_until_in_force(
+    operator: client.Client, version: int, wait_s: float
+) -> dict[str, t.Any]:
+    deadline_s = time.monotonic() + wait_s
+    while True:
+        entries = operator.get("/entries")
+        missing = _lag_behind(entries, version)
+        if not missing or time.monotonic() > deadline_s:
+            return {
+                "in_force": len(entries) - len(missing),
+                "entries": len(entries),
+                "missing": missing,
+            }
+        time.sleep(IN_FORCE_POLL_S)
+
+
+def _describe_spread(spread: dict[str, t.Any]) -> str:
+    text = f"in force on {spread['in_force']} of {spread['entries']} entries"
+    if spread["missing"]:
+        text += f"; missing: {', '.join(spread['missing'])}"
+    return text
+
+
+def _describe_verdict(answer: dict[str, t.Any]) -> str:
+    status = answer["status"]
+    patch_id = answer.get("patch_id", "")
+    if status == "accepted":
+        return f"accepted: version {answer.get('version')}"
+    if status == "unknown":
+        return (
+            f"unknown: whether patch {patch_id} took effect is not known "
+            f"yet; look it up with: sycamorespool look-up {patch_id}"
+        )
+    return f"{status}: {answer.get('detail', '')}"
+
+
+def submit_patch(
+    operator: client.Client,
+    base_version: int,
+    patch: dict[str, t.Any],
+    patch_id: str,
+    author: str = "",
+    wait_s: float = IN_FORCE_WAIT_S,
+) -> Result:
+    """Submit a patch and wait until it is in force everywhere.
+
+    Parameters
+    ----------
+    patch_id : str
+        Unique id, by which the patch is applied once however often it is
+        sent.
+    wait_s : float
+        How long to wait for the last entry.
+    """
+    body = {
+        "base_version": base_version,
+        "patch": patch,
+        "patch_id": patch_id,
+        "author": author,
+    }
+    try:
+        answer = operator.call(
+            "POST", "/patch", body, lambda a: a["status"] not in UNSETTLED
+        )
+    except exceptions.OperatorAnswerLost:
+        answer = {"status": "unknown", "patch_id": patch_id}
+    text = _describe_verdict(answer)
+    code = EXIT_OF_STATUS.get(answer["status"], EXIT_FAILED)
+    if answer["status"] == "accepted":
+        spread = _wait_until_in_force(operator, answer["version"], wait_s)
+        answer = {**answer, **spread}
+        text = f"{text}\n{_describe_spread(spread)}"
+        code = EXIT_NOT_EVERYWHERE if spread["missing"] else EXIT_OK
+    return Result(answer, text, code)
+
+
+def look_up_patch(operator: client.Client, patch_id: str) -> Result:
+    """Tell what became of a patch whose answer was lost."""
+    quoted = urllib.parse.quote(patch_id, safe="")
+    answer = operator.call(
+        "GET",
+        f"/patch?patch_id={quoted}",
+        is_final=lambda a: a["status"] not in UNSETTLED,
+    )
+    code = EXIT_OF_STATUS.get(answer["status"], EXIT_FAILED)
+    return Result(answer, _describe_verdict(answer), code)
+
+
+def set_in_service(
+    operator: client.Client,
+    name: str,
+    is_in_service: bool,
+    patch_id: str,
+    wait_s: float = IN_FORCE_WAIT_S,
+) -> Result:
+    """Take a data centre or a VM out of service, or bring it back.
+
+    Raises
+    ------
+    ConfigurationError
+        If nothing has this name.
+    """
+    current = operator.get("/configuration")
+    section = "data_centres"
+    if name not in operator.get("/data_centres"):
+        section = "vms"
+        if explain(operator, name).data["kind"] != "vm":
+            raise exceptions.ConfigurationError(
+                f"no data centre or VM is named {name!r}"
+            )
+    patch = {section: {name: {"in_service": is_in_service}}}
+    return submit_patch(
+        operator, current["version"], patch, patch_id, wait_s=wait_s
+    )
+
+
+def show_configuration(operator: client.Client) -> Result:
+    """Show the version and the document in force."""
+    current = operator.get("/configuration")
+    return Result(current, f"version {current['version']} (see --json)")
+
+
+def _format_entry(name: str, state: dict[str, t.Any] | None) -> list[object]:
+    if state is None:
+        return [name, "-", "no answer", "-", "-", "-", "-"]
+    return [
+        name,
+        state["data_centre"],
+        "ready" if state["is_ready"] else "not ready",
+        state["version"],
+        state["offset"],
+        state["requests_open"],
+        state["units_owned"],
+    ]
+
+
+def show_status(operator: client.Client) -> Result:
+    """Show every entry; the exit code tells whether one is silent."""
+    entries = operator.get("/entries")
+    heads = ["ENTRY", "DATA CENTRE", "STATE", "VERSION", "OFFSET"]
+    heads += ["OPEN", "UNITS"]
+    rows = [_format_entry(name, state) for name, state in entries.items()]
+    newest = max((s["version"] for s in entries.values() if s), default=0)
+    behind = _lag_behind(entries, newest)
+    spread = {
+        "in_force": len(entries) - len(behind),
+        "entries": len(entries),
+        "missing": behind,
+    }
+    text = tables.format_table(heads, rows)
+    text = f"{text}\nversion {newest}: {_describe_spread(spread)}"
+    code = EXIT_NOT_EVERYWHERE if behind else EXIT_OK
+    return Result({"version": newest, "states": entries}, text, code)
+
+
+def _format_ms(value_s: float | None) -> str:
+    return "over" if value_s is None else f"{value_s * 1000:.1f}"
+
+
+def show_metrics(operator: client.Client) -> Result:
+    """Show the metrics of the entry that answers first."""
+    status = operator.get("/status")
+    found = status.get("metrics", {})
+    rows = [
+        [
+            name.replace("_s.", ".", 1),
+            shown["recent"]["count"],
+            *(
+                _format_ms(shown["recent"][key])
+                for key in ("mean_s", "p50_s", "p95_s", "p99_s")
+            ),
+        ]
+        for name, shown in sorted(found.get("histograms", {}).items())
+    ]
+    heads = ["RECENT, IN MS", "COUNT", "MEAN", "P50", "P95", "P99"]
+    values = found.get("gauges", {}) | found.get("counters", {})
+    value_rows = [[name, f"{values[name]:.10g}"] for name in sorted(values)]
+    text = "\n\n".join(
+        [
+            f"entry {status.get('entry')}",
+            tables.format_table(heads, rows),
+            tables.format_table(["VALUE", "NOW"], value_rows),
+        ]
+    )
+    return Result(found, text)
+
+
+def _count_whole(groups: abc.Iterable[dict[str, t.Any]]) -> list[str]:
+    counts: dict[str, list[int]] = {}
+    for group in groups:
+        count = counts.setdefault(group["service"], [0, 0])
+        count[0] += group["is_whole"] is True
+        count[1] += 1
+    return [
+        f"{service}: {whole} of {total} groups whole"
+        for service, (whole, total) in sorted(counts.items())
+    ]
+
+
+def list_groups(operator: client.Client, service: str = "") -> Result:
+    """List the groups and whether they are whole."""
+    groups = [
+        group
+        for group in operator.get("/groups?fleet=1")
+        if service in ("", group["service"])
+    ]
+    groups.sort(key=lambda group: (group["service"], group["group"]))
+    rows = [
+        [
+            group["group"],
+            group["unit"],
+            WHOLENESS[group["is_whole"]],
+            " ".join(group["members"]),
+        ]
+        for group in groups
+    ]
+    table = tables.format_table(["GROUP", "UNIT", "STATE", "MEMBERS"], rows)
+    text = "\n".join([table, *_count_whole(groups)])
+    return Result(groups, text)
+
+
+def explain(operator: client.Client, name: str) -> Result:
+    """Say why a VM, group, unit, record or request is where it is."""
+    quoted = urllib.parse.quote(name, safe="")
+    found = operator.call(
+        "GET",
+        f"/explain?name={quoted}",
+        is_final=lambda a: a["state"] not in ("unknown", "elsewhere"),
+    )
+    lines = [f"{found['kind']} {found['name']}: {found['state']}"]
+    lines += [f"  - {reason}" for reason in found["reasons"]]
+    code = EXIT_UNKNOWN if found["kind"] == "unknown" else EXIT_OK
+    return Result(found, "\n".join(lines), code)
+
+
+def list_keys(operator: client.Client) -> Result:
+    """List the intents of keyed calls that have no outcome."""
+    keys = operator.get("/keys")
+    rows = [
+        [key["workspace"], key["key"], key["entry"], key["attempt_id"]]
+        for key in keys
+    ]
+    heads = ["WORKSPACE", "KEY", "ENTRY", "ATTEMPT"]
+    return Result(keys, tables.format_table(heads, rows))
+
+
+def settle_key(
+    operator: client.Client,
+    workspace: str,
+    key: str,
+    attempt_id: str,
+    resolution: str,
+    author: str = "",
+) -> Result:
+    """Record whether a call without outcome ran."""
+    body = {
+        "workspace": workspace,
+        "key": key,
+        "attempt_id": attempt_id,
+        "resolution": resolution,
+        "operator": author,
+    }
+    answer = operator.call("POST", "/keys/settle", body)
+    status = answer.get("status", "unknown")
+    text = f"{status}: {workspace} {key} {resolution}"
+    return Result(answer, text, EXIT_OF_STATUS.get(status, EXIT_FAILED))
--- /dev/null
+++ b/src/sycamorespool/operators/patches.py
@@ -0,0 +1,75 @@
+"""Takes operators' patches and tells what replay decided on them."""
+
+import msgspec
+import trio
+
+from sycamorespool import asgi
+from sycamorespool import environment
+from sycamorespool import exceptions
+from sycamorespool import records
+
+VERDICT_WAIT_S = 3.0
+
+
+class PatchRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """A patch that an operator submits."""
+
+    base_version: int
+    patch: dict[str, object]
+    patch_id: str = ""
+    author: str = ""
+
+
+class PatchAnswer(msgspec.Struct, omit_defaults=True):
+    """What became of a patch.
+
+    Parameters
+    ----------
+    status : str
+        ``accepted``, ``conflict``, ``invalid``, ``refused`` (the log did
+        not take it) or ``unknown`` (look its id up later).
+    version : int
+        Version of the configuration after it.
+    """
+
+    status: str
+    patch_id: str
+    detail: str = ""
+    version: int = 0
+
+
+def look_up(env: environment.Environment, patch_id: str) -> PatchAnswer:
+    """Return what this entry knows of a patch."""
+    verdict = env.fleet.verdicts.get(patch_id)
+    if verdict is None:
+        return PatchAnswer("unknown", patch_id)
+    return PatchAnswer(
+        verdict.status, patch_id, verdict.detail, verdict.version
+    )
+
+
+async def submit(env: environment.Environment, body: bytes) -> asgi.Response:
+    """Append a patch and answer with what replay decides about it."""
+    try:
+        wanted = msgspec.json.decode(body, type=PatchRequest)
+    except msgspec.DecodeError as error:
+        return asgi.answer_json(PatchAnswer("invalid", "", str(error)))
+    record = records.ConfigPatch(
+        wanted.patch_id or environment.make_id(),
+        wanted.base_version,
+        wanted.patch,
+        wanted.author,
+    )
+    # A patch may come again, by a client that lost the first answer.
+    if record.record_id not in env.fleet.verdicts:
+        try:
+            await env.log.append(records.FLEET_STREAM, [record])
+        except exceptions.PlatformUnavailable as error:
+            answer = PatchAnswer("refused", record.record_id, str(error))
+            return asgi.answer_json(answer)
+        except exceptions.OutcomeLost:
+            pass
+    with trio.move_on_after(VERDICT_WAIT_S):
+        while record.record_id not in env.fleet.verdicts:
+            await env.fleet_changed.wait()
+    return asgi.answer_json(look_up(env, record.record_id))
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -144,7 +144,8 @@
     return notes[0] if notes else str(kind)
 
 
-def _is_address(value: str) -> bool:
+def is_address(value: str) -> bool:
+    """Tell whether a text is ``IP:port``, with brackets around an IPv6."""
     host, _, port = value.rpartition(":")
     try:
         number = ipaddress.ip_address(host.strip("[]"))
@@ -161,7 +162,7 @@
         return False
     is_optional = kind is OptionalAddress
     if kind is Address or (is_optional and value):
-        return _is_address(value)
+        return is_address(value)
     return True
 
 
