--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import replay
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
@@ -36,6 +37,8 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    links : stream.Links
+        The idle connections to backend servers.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
     journal : journal.Journal
@@ -57,6 +60,7 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
+    links: stream.Links = dataclasses.field(default_factory=stream.Links)
     # Quoted, as a field hides its module once it has a default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -14,6 +14,7 @@
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
     |   +-- RecordsExpired
+    |   +-- KeyHistoryLost
     +-- PeerError
     |   +-- PeerUnavailable
     |   +-- PeerRejected
@@ -24,6 +25,7 @@
     +-- RequestError
     |   +-- NotRun
     |   +-- OutcomeUnknown
+    |   +-- CallerStalled
     +-- OperatorError
     |   +-- OperatorUnreached
     |   +-- OperatorAnswerLost
@@ -127,6 +129,10 @@
         self.first_offset = first_offset
 
 
+class KeyHistoryLost(PlatformError):
+    """Records of idempotency keys expired before a snapshot held them."""
+
+
 class PeerError(SycamorespoolError):
     """A call to another entry failed."""
 
@@ -219,6 +225,10 @@
         self.status = 502
 
 
+class CallerStalled(RequestError):
+    """The caller did not take the bytes of its answer in time."""
+
+
 class OperatorError(SycamorespoolError):
     """A call of an operator's client failed."""
 
