--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -9,6 +9,7 @@
 from sycamorespool.backend_servers import stream
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import journal
 from sycamorespool import models
 from sycamorespool import relay
 
@@ -169,6 +170,29 @@
     CallerStalled
         If the caller did not take its answer.
     """
+    trace = env.journal.open(
+        call.request_id, call.workspace, call.priority, call.service
+    )
+    try:
+        await _try_replicas(env, call, passed, trace)
+    except exceptions.NotRun as error:
+        trace.change("not_run", error.code)
+        raise
+    except exceptions.OutcomeUnknown as error:
+        trace.change("outcome_unknown", error.code)
+        raise
+    except BaseException:
+        trace.change("cut")
+        raise
+    trace.change("served")
+
+
+async def _try_replicas(
+    env: environment.Environment,
+    call: Call,
+    passed: relay.Relay,
+    trace: journal.Trace,
+) -> None:
     limits = env.settings.limits
     end_s = trio.current_time() + limits.request_timeout_s
     tries = _Tries()
@@ -177,6 +201,7 @@
             grant = await _take_place(env, call, tries.excluded)
         except exceptions.NotRun as error:
             raise tries.fail(error) from error
+        trace.send(grant.group_id)
         from_token = passed.events.count
         try:
             async with _attempt(env, call, grant, from_token, end_s) as answer:
@@ -188,3 +213,4 @@
             is_late = trio.current_time() >= end_s
             if is_late or not _may_go_on(call, passed, tries):
                 raise tries.fail(error) from error
+            env.metrics.count("attempts_retried", call.workspace)
