--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -12,6 +12,7 @@
 from sycamorespool.decisions import retries
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import journal
 from sycamorespool import models
 from sycamorespool import relay
 
@@ -112,6 +113,7 @@
 
     state: retries.CallTries
     wish: admission.Wish
+    trace: journal.Trace
     error: exceptions.RequestError | None = None
 
     def fail(self) -> exceptions.RequestError:
@@ -146,6 +148,9 @@
             call.service,
             limits.queue_timeout_s,
         ),
+        env.journal.open(
+            call.request_id, call.workspace, call.priority, call.service
+        ),
     )
 
 
@@ -189,6 +194,27 @@
         If the caller did not take its answer.
     """
     tries = _begin_tries(env, call)
+    trace = tries.trace
+    try:
+        await _try_replicas(env, call, passed, tries)
+    except exceptions.NotRun as error:
+        trace.change("not_run", error.code)
+        raise
+    except exceptions.OutcomeUnknown as error:
+        trace.change("outcome_unknown", error.code)
+        raise
+    except BaseException:
+        trace.change("cut")
+        raise
+    trace.change("served")
+
+
+async def _try_replicas(
+    env: environment.Environment,
+    call: Call,
+    passed: relay.Relay,
+    tries: _Tries,
+) -> None:
     while True:
         cut = await _try_once(env, call, tries, passed)
         if cut is None:
@@ -226,6 +252,7 @@
     passed: relay.Relay,
     grant: models.Grant,
 ) -> retries.Cut | None:
+    tries.trace.send(grant.group_id)
     end_s = tries.state.deadline_s
     from_token = passed.events.count
     try:
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -13,6 +13,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -43,6 +44,8 @@
         The idle connections to backend servers.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -68,6 +71,9 @@
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
