Run grants, routing and the membership in the daemon

Cause: the first grantor gave every entry an equal part of the limit and judged warmth by a count, and peers exchanged bare messages.

The grantor keeps a ledger for each unit, opened only when grants of an earlier grantor have lapsed; askers ask a subset of the units, at once when places run short, and through another entry where they do not reach the owner.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -55,7 +55,7 @@
 
     def start(self, name: str, incarnation: int) -> None:
         """Start the process of an entry, which knows the platform's list."""
-        state = membership.join(name, name, "dc", incarnation)
+        state = membership.join(name, name, "dc", "", incarnation)
         listed = {other: (other, "dc") for other in self.names}
         membership.set_listed(state, listed, self.now_s)
         self.states[name] = state
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -7,6 +7,7 @@
 
 from sycamorespool import asgi
 from sycamorespool.callers import app as callers_app
+from sycamorespool.entries import messages
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import fleet
@@ -16,35 +17,30 @@
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
+from sycamorespool import peer_watch
 from sycamorespool import settings
 
 READINESS_NOTICE_S = 0.5
 
 
 def _make_peer_handlers(
-    env: environment.Environment, granter: grantor.Grantor
+    watch: peer_watch.PeerWatch, user: grant_user.GrantUser
 ) -> transport.Handlers:
     """Return the handler of each message that other entries send."""
 
-    async def answer_ping(message: transport.Ping) -> transport.Message:
-        return transport.Pong(env.name)
-
-    async def give_grants(
-        message: transport.GrantsWanted,
-    ) -> transport.Message:
-        answer = grantor.grant(granter, message.ask)
-        if answer is None:
-            return transport.Refused("not the owner")
-        return transport.GrantsGiven(answer)
+    async def give_grants(message: messages.GrantsWanted) -> messages.Message:
+        return await grant_user.answer_ask(user, message)
 
     return {
-        transport.Ping: answer_ping,
-        transport.GrantsWanted: give_grants,
+        messages.GrantsWanted: give_grants,
+        **peer_watch.make_handlers(watch),
     }
 
 
 async def _stop_on_signal(
-    env: environment.Environment, stop: trio.Event
+    env: environment.Environment,
+    watch: peer_watch.PeerWatch,
+    stop: trio.Event,
 ) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
@@ -55,6 +51,7 @@
     # The balancer polls readiness: requests that it sends before it notices
     # still get an answer.
     await trio.sleep(READINESS_NOTICE_S)
+    await peer_watch.leave(watch)
     with trio.move_on_after(env.settings.limits.drain_timeout_s):
         await env.wait_until_idle()
     stop.set()
@@ -64,23 +61,29 @@
     """Run an entry until it is told to stop."""
     env = environment.make_environment(chosen)
     own = owner.Owner(env)
-    granter = grantor.Grantor(own)
+    watch = peer_watch.make_watch(env)
+    granter = grantor.Grantor(own, watch)
+    user = grant_user.GrantUser(env, granter, watch)
     stop = trio.Event()
     listen = chosen.listen
     statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
     metrics.count_violations(env.metrics)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, env, stop)
+        nursery.start_soon(_stop_on_signal, env, watch, stop)
         nursery.start_soon(fleet.follow_log, env)
         nursery.start_soon(fleet.follow_membership, env)
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
-        nursery.start_soon(grant_user.ask_for_grants, env, granter)
+        nursery.start_soon(peer_watch.run, watch)
+        nursery.start_soon(grant_user.ask_for_grants, user)
         nursery.start_soon(
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
         )
         await nursery.start(
-            transport.serve, listen.peers, _make_peer_handlers(env, granter)
+            transport.serve,
+            listen.peers,
+            env.transport.codec,
+            _make_peer_handlers(watch, user),
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/decisions/mandates.py
+++ b/src/sycamorespool/decisions/mandates.py
@@ -50,6 +50,7 @@
 
 
 FULL = Mandate(0, may_ramp=True)
+SETTLING_OWNER = Mandate(1, rounds_up=True, may_ramp=True)
 OWNER_WITHOUT_LOG = Mandate(1, rounds_up=True)
 UNSETTLED_OWNER = Mandate(1)
 
@@ -128,7 +129,7 @@
     # An acting grantor hears a majority, so an owner that has heard half of
     # the entries for a while was seen alive by it, and the grantor stopped.
     if standing.sound_s < settle_s:
-        return OWNER_WITHOUT_LOG
+        return SETTLING_OWNER
     if standing.is_predecessor_settled or hears_majority(standing):
         return FULL
     return UNSETTLED_OWNER
--- a/src/sycamorespool/decisions/membership.py
+++ b/src/sycamorespool/decisions/membership.py
@@ -87,11 +87,11 @@
 
 
 def join(
-    entry: str, address: str, data_centre: str, incarnation: int
+    entry: str, address: str, data_centre: str, region: str, incarnation: int
 ) -> Membership:
     """Return the membership of an entry that has just started."""
     own = pings.Update(
-        entry, address, data_centre, incarnation, 0, pings.Status.ALIVE
+        entry, address, data_centre, incarnation, 0, pings.Status.ALIVE, region
     )
     return Membership(own, unsent={entry: 0})
 
--- a/src/sycamorespool/decisions/pings.py
+++ b/src/sycamorespool/decisions/pings.py
@@ -31,6 +31,8 @@
         How often the process has refuted a suspicion.
     status : Status
         What is stated.
+    region : str
+        Region of the data centre, empty if it is not known yet.
     """
 
     entry: str
@@ -39,6 +41,7 @@
     incarnation: int
     refutation: int
     status: Status
+    region: str = ""
 
     @property
     def order(self) -> tuple[int, int, int]:
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -7,6 +7,7 @@
 import trio
 
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
@@ -44,6 +45,14 @@
     is_completion: bool = False
     is_stream: bool = False
 
+    @property
+    def prefix(self) -> int | None:
+        """Key of the prompt's beginning, None if there is no prompt."""
+        if not self.is_completion:
+            return None
+        text = self.body[: routing.PREFIX_CHARACTERS].decode("latin-1")
+        return routing.make_prefix_key(self.workspace, text)
+
 
 async def _take_place(
     env: environment.Environment, call: Call, excluded: set[str]
@@ -54,7 +63,7 @@
     try:
         while True:
             now_s = trio.current_time()
-            grant = env.held.find(call.service, now_s, excluded)
+            grant = env.held.find(call.service, now_s, excluded, call.prefix)
             if grant is not None:
                 env.metrics.observe(
                     "queue_wait_s",
@@ -99,14 +108,15 @@
         may_reuse=call.is_idempotent,
     )
     idle_s = env.settings.limits.idle_timeout_s
-    env.held.in_flight[grant.group_id] += 1
+    if not env.held.begin(grant, call.prefix):
+        raise exceptions.BackendNotReached("the grant has lapsed")
     try:
         async with stream.open_request(
             env.links, outgoing, idle_s, end_s
         ) as answer:
             yield answer
     finally:
-        env.held.in_flight[grant.group_id] -= 1
+        env.held.end(grant)
 
 
 async def _copy(
--- a/src/sycamorespool/entries/transport.py
+++ b/src/sycamorespool/entries/transport.py
@@ -4,67 +4,29 @@
 import collections.abc
 import typing as t
 
-import msgspec
 import pynng
 import trio
 
+from sycamorespool.entries import frames
+from sycamorespool.entries import messages
 from sycamorespool import exceptions
-from sycamorespool import models
 
 CALL_TIMEOUT_S = 1.0
-MAX_MESSAGE_BYTES = 256 * 1024
 MAX_PEER_SOCKETS = 64
 REPLY_WORKERS = 16
 
 
-class Ping(msgspec.Struct, frozen=True, tag="ping"):
-    """Ask whether an entry is alive."""
-
-    entry: str
-
-
-class Pong(msgspec.Struct, frozen=True, tag="pong"):
-    """Say that the entry is alive."""
-
-    entry: str
-
-
-class GrantsWanted(msgspec.Struct, frozen=True, tag="grants_wanted"):
-    """Ask the owner of a unit for grants."""
-
-    ask: models.GrantAsk
-
-
-class GrantsGiven(msgspec.Struct, frozen=True, tag="grants_given"):
-    """The owner's answer."""
-
-    answer: models.GrantAnswer
-
-
-class Refused(msgspec.Struct, frozen=True, tag="refused"):
-    """The entry cannot answer the call."""
-
-    reason: str
-
-
-Message: t.TypeAlias = Ping | Pong | GrantsWanted | GrantsGiven | Refused
 Handler: t.TypeAlias = collections.abc.Callable[
-    [t.Any], collections.abc.Awaitable[Message]
+    [t.Any], collections.abc.Awaitable[messages.Message]
 ]
 Handlers: t.TypeAlias = dict[type, Handler]
 
 
-def _decode(data: bytes) -> Message:
-    try:
-        return msgspec.msgpack.decode(data, type=Message)
-    except msgspec.DecodeError as error:
-        raise exceptions.PeerRejected(str(error)) from error
-
-
 class Transport:
     """Calls other entries; keeps a bounded number of sockets open."""
 
-    def __init__(self) -> None:
+    def __init__(self, codec: frames.Codec) -> None:
+        self.codec = codec
         self._sockets: collections.OrderedDict[str, pynng.Req0] = (
             collections.OrderedDict()
         )
@@ -75,7 +37,7 @@
             socket = pynng.Req0(
                 dial=f"tcp://{address}",
                 block_on_dial=False,
-                recv_max_size=MAX_MESSAGE_BYTES,
+                recv_max_size=frames.MAX_FRAME_BYTES,
                 # A call is repeated by the caller's next period, never by
                 # the socket.
                 resend_time=-1,
@@ -89,9 +51,9 @@
     async def call(
         self,
         address: str,
-        message: Message,
+        message: messages.Message,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Message:
+    ) -> messages.Message:
         """Send a message to the entry at ``IP:port`` and await its reply.
 
         Raises
@@ -99,9 +61,9 @@
         PeerUnavailable
             If no reply came within ``timeout_s``.
         PeerRejected
-            If the reply is malformed.
+            If the reply is malformed or not authentic.
         """
-        data = msgspec.msgpack.encode(message)
+        data = frames.seal_request(self.codec, message)
         reply: bytes | None = None
         try:
             with trio.move_on_after(timeout_s):
@@ -114,7 +76,7 @@
             raise exceptions.PeerUnavailable(
                 f"no reply from {address} within {timeout_s} s"
             )
-        return _decode(reply)
+        return frames.open_reply(self.codec, reply, data)
 
     def close(self) -> None:
         """Close all sockets."""
@@ -123,38 +85,45 @@
         self._sockets.clear()
 
 
-async def _answer(data: bytes, handlers: Handlers) -> Message:
+async def _answer(
+    codec: frames.Codec, data: bytes, handlers: Handlers
+) -> bytes | None:
+    """Return the reply to a frame, or None to a stranger's."""
     try:
-        message = _decode(data)
-    except exceptions.PeerRejected as error:
-        return Refused(str(error))
-    handle = handlers.get(type(message))
+        request = frames.open_request(codec, data)
+    except exceptions.PeerRejected:
+        return None
+    handle = handlers.get(type(request.message))
     if handle is None:
-        return Refused(f"no handler of {type(message).__name__}")
-    return await handle(message)
+        name = type(request.message).__name__
+        reply: messages.Message = messages.Refused(f"no handler of {name}")
+    else:
+        reply = await handle(request.message)
+    return frames.seal_reply(codec, reply, request)
 
 
-async def _answer_calls(socket: pynng.Rep0, handlers: Handlers) -> None:
-    context = socket.new_context()
-    try:
+async def _answer_calls(
+    socket: pynng.Rep0, codec: frames.Codec, handlers: Handlers
+) -> None:
+    with socket.new_context() as context:
         while True:
             data = await context.arecv()
-            reply = await _answer(data, handlers)
-            await context.asend(msgspec.msgpack.encode(reply))
-    finally:
-        context.close()
+            reply = await _answer(codec, data, handlers)
+            if reply is not None:
+                await context.asend(reply)
 
 
 async def serve(
     address: str,
+    codec: frames.Codec,
     handlers: Handlers,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer the calls of other entries at ``IP:port`` until cancelled."""
     with pynng.Rep0(
-        listen=f"tcp://{address}", recv_max_size=MAX_MESSAGE_BYTES
+        listen=f"tcp://{address}", recv_max_size=frames.MAX_FRAME_BYTES
     ) as socket:
         task_status.started()
         async with trio.open_nursery() as nursery:
             for _ in range(REPLY_WORKERS):
-                nursery.start_soon(_answer_calls, socket, handlers)
+                nursery.start_soon(_answer_calls, socket, codec, handlers)
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -8,7 +8,9 @@
 import trio
 
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import replay
+from sycamorespool.entries import frames
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
@@ -115,12 +117,17 @@
 def make_environment(chosen: settings.Settings) -> Environment:
     """Make the environment of a process that starts now."""
     pool = http_client.make_pool()
+    name = chosen.entry.name
+    incarnation = int(time.time() * 1000)
     return Environment(
         chosen,
-        int(time.time() * 1000),
+        incarnation,
         pool,
         log.LogClient(pool, chosen.platform.address),
-        transport.Transport(),
+        transport.Transport(
+            frames.Codec(chosen.peers.shared_key.encode(), name, incarnation)
+        ),
+        held=grants_held.GrantsHeld(grant_book.GrantBook(name, incarnation)),
     )
 
 
--- a/src/sycamorespool/gauges.py
+++ b/src/sycamorespool/gauges.py
@@ -78,7 +78,7 @@
             self._list_vms(),
             groups,
             {g for g in groups if self.own.is_whole(g, now_s)},
-            {g.group_id for g, _ in env.held.grants.values() if not g.warm},
+            env.held.list_cold(),
             now_s,
         )
         env.metrics.set("vms_stranded", signs.vms_stranded)
--- a/src/sycamorespool/grant_user.py
+++ b/src/sycamorespool/grant_user.py
@@ -1,58 +1,164 @@
 """The loop that asks owners for grants."""
 
-from absl import logging
+import collections
+import dataclasses
+
 import trio
 
-from sycamorespool.entries import transport
+from sycamorespool.decisions import grant_book
+from sycamorespool.decisions import pings
+from sycamorespool.decisions import rendezvous
+from sycamorespool.decisions import routing
+from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import grantor
+from sycamorespool import logs
 from sycamorespool import models
+from sycamorespool import peer_watch
 
 ASK_PERIOD_S = 0.5
+ASK_MIN_GAP_S = 0.1
+ASK_TIMEOUT_S = 0.4
+PLACES_PER_UNIT = 4.0
+MAX_RELAYS = 2
 
+log = logs.make_logger("grants")
 
-async def ask_for_grants(
-    env: environment.Environment, granter: grantor.Grantor
-) -> None:
-    """Ask the owner of every domain for grants, for ever."""
+
+@dataclasses.dataclass(slots=True)
+class GrantUser:
+    """What the loop needs.
+
+    Parameters
+    ----------
+    env : environment.Environment
+        The entry.
+    granter : grantor.Grantor
+        The grantor of this process, for the units that it owns.
+    watch : peer_watch.PeerWatch
+        What is known of the other entries.
+    """
+
+    env: environment.Environment
+    granter: grantor.Grantor
+    watch: peer_watch.PeerWatch
+
+
+def _choose_units(user: GrantUser) -> dict[str, dict[str, int]]:
+    """Return the places wanted by unit and service."""
+    env = user.env
+    running: dict[str, dict[str, str]] = collections.defaultdict(dict)
+    for group in env.fleet.groups.values():
+        leader = env.vms.get(group.members[0])
+        if leader is not None:
+            running[group.service][group.unit] = leader.data_centre
+    wanted: dict[str, dict[str, int]] = collections.defaultdict(dict)
+    for service, units in running.items():
+        places = env.held.count_wanted(service)
+        for unit in routing.choose_units(
+            env.name, units, env.held.tiers, places, PLACES_PER_UNIT
+        ):
+            wanted[unit][service] = places
+    return wanted
+
+
+async def ask_for_grants(user: GrantUser) -> None:
+    """Ask for grants each period, and soon when places run short."""
+    held = user.env.held
     while True:
         async with trio.open_nursery() as nursery:
-            for domain in env.domains():
-                nursery.start_soon(
-                    _ask_owner, env, granter, f"domain/{domain}"
-                )
-        await trio.sleep(ASK_PERIOD_S)
+            for unit, wanted in _choose_units(user).items():
+                nursery.start_soon(_ask_unit, user, unit, wanted)
+        held.shortage = trio.Event()
+        await trio.sleep(ASK_MIN_GAP_S)
+        with trio.move_on_after(ASK_PERIOD_S - ASK_MIN_GAP_S):
+            await held.shortage.wait()
 
 
-async def _ask_owner(
-    env: environment.Environment, granter: grantor.Grantor, unit: str
+async def _ask_unit(
+    user: GrantUser, unit: str, wanted: dict[str, int]
 ) -> None:
-    ask = models.GrantAsk(
-        env.name, unit, dict(env.held.in_flight), dict(env.held.waiting)
-    )
-    asked_s = trio.current_time()
-    answer = grantor.grant(granter, ask)
+    held = user.env.held
+    now_s = trio.current_time()
+    ask = grant_book.make_ask(held.book, unit, wanted, now_s)
+    answer = grantor.grant(user.granter, ask)
     if answer is None:
-        answer = await _call_owner(env, ask)
+        answer = await _call_grantors(user, ask)
     if answer is not None:
-        env.held.put(answer, asked_s)
+        held.put(answer, ask.asked_s)
 
 
-async def _call_owner(
-    env: environment.Environment, ask: models.GrantAsk
+def _list_grantors(user: GrantUser, unit: str) -> list[str]:
+    """Return the owner, and while it is lost those who may act for it."""
+    record = user.env.fleet.owners.get(unit)
+    if record is None:
+        return []
+    heard = peer_watch.list_heard(user.watch)
+    names = [record.entry]
+    if record.entry not in heard:
+        others = rendezvous.rank(unit, heard - {record.entry})
+        names += others[:1]
+    return [name for name in names if name != user.env.name]
+
+
+async def _call(
+    user: GrantUser, entry: str, message: messages.GrantsWanted
 ) -> models.GrantAnswer | None:
-    record = env.fleet.owners.get(ask.unit)
-    peer = env.entries().get(record.entry) if record else None
-    if peer is None or peer.vm == env.name:
-        return None
-    try:
-        reply = await env.transport.call(
-            peer.address, transport.GrantsWanted(ask)
-        )
-    except exceptions.PeerError as error:
-        logging.warning("grants: ask failed unit=%s %s", ask.unit, error)
+    address = peer_watch.find_address(user.watch, entry)
+    if address is None:
         return None
-    if isinstance(reply, transport.GrantsGiven):
+    timeout_s = ASK_TIMEOUT_S * (1 + message.hops)
+    reply = await user.env.transport.call(address, message, timeout_s)
+    if isinstance(reply, messages.GrantsGiven):
         return reply.answer
     return None
+
+
+async def _call_grantors(
+    user: GrantUser, ask: models.GrantAsk
+) -> models.GrantAnswer | None:
+    for name in _list_grantors(user, ask.unit):
+        try:
+            return await _call(user, name, messages.GrantsWanted(ask))
+        except exceptions.PeerError as error:
+            log.info("ask failed", unit=ask.unit, entry=name, error=error)
+        answer = await _ask_through_others(user, name, ask)
+        if answer is not None:
+            return answer
+    return None
+
+
+async def _ask_through_others(
+    user: GrantUser, owner: str, ask: models.GrantAsk
+) -> models.GrantAnswer | None:
+    """Ask an owner that others hear and this entry does not reach."""
+    member = user.watch.state.members.get(owner)
+    if member is None or member.update.status is pings.Status.DEAD:
+        return None
+    heard = peer_watch.list_heard(user.watch) - {user.env.name, owner}
+    for helper in rendezvous.rank(user.env.name, heard)[:MAX_RELAYS]:
+        try:
+            answer = await _call(user, helper, messages.GrantsWanted(ask, 1))
+        except exceptions.PeerError:
+            continue
+        if answer is not None:
+            return answer
+    return None
+
+
+async def answer_ask(
+    user: GrantUser, message: messages.GrantsWanted
+) -> messages.Message:
+    """Answer another entry's ask, or pass it on to the owner."""
+    answer = grantor.grant(user.granter, message.ask)
+    record = user.env.fleet.owners.get(message.ask.unit)
+    if answer is None and message.hops and record is not None:
+        forwarded = messages.GrantsWanted(message.ask)
+        try:
+            answer = await _call(user, record.entry, forwarded)
+        except exceptions.PeerError as error:
+            return messages.Refused(str(error))
+    if answer is None:
+        return messages.Refused("not the grantor")
+    return messages.GrantsGiven(answer)
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -4,80 +4,148 @@
 
 import trio
 
+from sycamorespool.decisions import fleet
+from sycamorespool.decisions import grant_ledger
+from sycamorespool.decisions import grants
+from sycamorespool.decisions import mandates
+from sycamorespool.decisions import ramps
 from sycamorespool import models
 from sycamorespool import owner
+from sycamorespool import peer_watch
 
-GRANT_TTL_S = 2.0
-WARM_AFTER_REQUESTS = 8
+LEASE_S = 3.0
+SOUND_LOG_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
 class Grantor:
-    """The grants that this process has given.
+    """The ledgers of the units that this process grants for.
 
     Parameters
     ----------
     owner : owner.Owner
         What is known of the groups.
-    promised : dict
-        Places and expiry of each grant, by group id and entry.
+    watch : peer_watch.PeerWatch
+        What is known of the other entries.
+    ledgers : dict
+        Epoch of the ownership and ledger, by unit.
+    sound_since_s : float or None
+        Since when the log was read and half of the entries were heard.
     """
 
     owner: owner.Owner
-    promised: dict[str, dict[str, tuple[int, float]]] = dataclasses.field(
+    watch: peer_watch.PeerWatch
+    ledgers: dict[str, tuple[int, grant_ledger.Ledger]] = dataclasses.field(
         default_factory=dict
     )
+    sound_since_s: float | None = None
 
 
-def grant(grantor: Grantor, ask: models.GrantAsk) -> models.GrantAnswer | None:
-    """Answer an entry that asks for grants, or None if not the owner."""
+def _make_standing(
+    grantor: Grantor, unit: str, record: fleet.Ownership, now_s: float
+) -> mandates.Standing:
+    env, watch = grantor.owner.env, grantor.watch
+    unread_s = now_s - env.log_read_s
+    sound_s = 0.0
+    if grantor.sound_since_s is not None:
+        sound_s = now_s - grantor.sound_since_s
+    heard = peer_watch.list_heard(watch)
+    predecessor = record.predecessor
+    return mandates.Standing(
+        env.name,
+        record.entry,
+        may_act=grantor.owner.owns(unit) and unread_s < LEASE_S,
+        log_unread_s=unread_s,
+        sound_s=sound_s,
+        is_predecessor_settled=predecessor is not fleet.Predecessor.ACTIVE,
+        presumes_outage=peer_watch.presumes_outage(watch),
+        owner_lost_s=peer_watch.lost_for_s(watch, record.entry, now_s),
+        known=peer_watch.list_known(watch),
+        heard=heard,
+        confirmed_dead=frozenset(),
+    )
+
+
+def watch_soundness(grantor: Grantor, now_s: float) -> None:
+    """Note whether the log is read and half of the entries are heard."""
+    env, watch = grantor.owner.env, grantor.watch
+    heard = peer_watch.list_heard(watch)
+    hears_half = 2 * len(heard) >= len(peer_watch.list_known(watch))
+    if now_s - env.log_read_s > SOUND_LOG_S or not hears_half:
+        grantor.sound_since_s = None
+    elif grantor.sound_since_s is None:
+        grantor.sound_since_s = now_s
+
+
+def _find_ledger(
+    grantor: Grantor, unit: str, record: fleet.Ownership, now_s: float
+) -> grant_ledger.Ledger:
+    epoch, ledger = grantor.ledgers.get(unit, (None, None))
+    if ledger is None or epoch != record.epoch:
+        is_first = (
+            record.entry == grantor.owner.env.name
+            and record.predecessor is fleet.Predecessor.NONE
+        )
+        ledger = grant_ledger.open_ledger(unit, now_s, not is_first)
+        if record.predecessor is fleet.Predecessor.ACTIVE:
+            ledger.opens_s += LEASE_S * (1 + grant_ledger.DRIFT_RATIO)
+        grantor.ledgers[unit] = (record.epoch, ledger)
+    return ledger
+
+
+def _observe_group(
+    grantor: Grantor,
+    ledger: grant_ledger.Ledger,
+    group: fleet.Group,
+    mandate: mandates.Mandate,
+    now_s: float,
+) -> None:
     own, env = grantor.owner, grantor.owner.env
-    if not own.owns(ask.unit):
-        return None
-    now_s = trio.current_time()
-    grants = [
-        given
-        for group_id, group in env.fleet.groups.items()
-        if group.unit == ask.unit
-        and own.is_whole(group_id, now_s)
-        and (given := _grant_group(grantor, group_id, ask, now_s))
-    ]
-    return models.GrantAnswer(ask.unit, env.fleet.config_offset, tuple(grants))
-
-
-def _grant_group(
-    grantor: Grantor, group_id: str, ask: models.GrantAsk, now_s: float
-) -> models.Grant | None:
-    env = grantor.owner.env
-    group = env.fleet.groups[group_id]
-    leader = env.vms.get(group.members[0])
     service = env.fleet.config.services.get(group.service)
-    if leader is None or service is None:
+    known = [own.reports.get(vm) for vm in group.members]
+    received = [pair for pair in known if pair is not None]
+    if service is None or len(received) < len(known):
+        return
+    observed_s = min(started_s for _, started_s in received)
+    account = ledger.accounts.get(group.group_id)
+    facts = grant_ledger.make_facts(
+        env.fleet.config, group, env.vms, own.is_whole(group.group_id, now_s)
+    )
+    if account is not None:
+        account.facts = facts
+        if observed_s <= account.observed_s:
+            return
+    load = ramps.summarise([report for report, _ in received])
+    grant_ledger.observe(ledger, facts, load, service, mandate, observed_s)
+
+
+def _observe(
+    grantor: Grantor,
+    ledger: grant_ledger.Ledger,
+    mandate: mandates.Mandate,
+    now_s: float,
+) -> None:
+    groups = grantor.owner.env.fleet.groups
+    for group in groups.values():
+        if group.unit == ledger.unit:
+            _observe_group(grantor, ledger, group, mandate, now_s)
+    for group_id in ledger.accounts.keys() - groups.keys():
+        grant_ledger.forget_group(ledger, group_id)
+
+
+def grant(grantor: Grantor, ask: models.GrantAsk) -> models.GrantAnswer | None:
+    """Answer an entry that asks for grants, or None if not the grantor."""
+    env = grantor.owner.env
+    now_s = trio.current_time()
+    record = env.fleet.owners.get(ask.unit)
+    if record is None:
         return None
-    if not env.fleet.config.is_in_service(leader.data_centre, leader.vm):
+    watch_soundness(grantor, now_s)
+    standing = _make_standing(grantor, ask.unit, record, now_s)
+    settle_s = peer_watch.settle_s(grantor.watch)
+    mandate = mandates.decide(ask.unit, standing, LEASE_S, settle_s)
+    if mandate is None:
         return None
-    report = grantor.owner.reports[leader.vm][0]
-    is_warm = report.completed >= WARM_AFTER_REQUESTS
-    limit = service.warm_limit if is_warm else service.cold_limit
-    promised = grantor.promised.setdefault(group_id, {})
-    others = sum(
-        places
-        for entry, (places, expires_s) in promised.items()
-        if entry != ask.entry and expires_s > now_s
-    )
-    share = -(-limit // max(1, len(env.entries())))
-    places = max(0, min(share, limit - others))
-    held, held_until_s = promised.get(ask.entry, (0, 0.0))
-    counted = max(places, held) if held_until_s > now_s else places
-    promised[ask.entry] = (counted, now_s + GRANT_TTL_S)
-    return models.Grant(
-        group_id,
-        group.service,
-        group.epoch,
-        places,
-        GRANT_TTL_S,
-        leader.address,
-        leader.data_centre,
-        report.incarnation,
-        is_warm,
-    )
+    ledger = _find_ledger(grantor, ask.unit, record, now_s)
+    _observe(grantor, ledger, mandate, now_s)
+    return grants.answer(ledger, ask, mandate, env.fleet.config_offset, now_s)
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -2,42 +2,101 @@
 
 import collections
 import dataclasses
+import math
 
+import trio
+
+from sycamorespool.decisions import grant_book
+from sycamorespool.decisions import routing
 from sycamorespool import models
 
+SPARE_PLACES = 4
+SPARE_RATIO = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class GrantsHeld:
-    """Grants by group id, and the requests in flight under them."""
+    """Grants, the requests in flight under them, and those that wait.
+
+    Parameters
+    ----------
+    book : grant_book.GrantBook
+        Grants and requests in flight.
+    view : routing.CacheView
+        What is known of the replicas' prefix caches.
+    tiers : dict
+        Distance class by data centre, 0 for the nearest.
+    waiting : collections.Counter
+        Requests that wait for a place, by service.
+    using : collections.Counter
+        Requests in flight, by service.
+    shortage : trio.Event
+        Set when a request finds no free place.
+    """
 
-    grants: dict[str, tuple[models.Grant, float]] = dataclasses.field(
-        default_factory=dict
+    book: grant_book.GrantBook = dataclasses.field(
+        default_factory=lambda: grant_book.GrantBook("", 0)
     )
-    in_flight: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
+    view: routing.CacheView = dataclasses.field(
+        default_factory=routing.CacheView
     )
+    tiers: dict[str, int] = dataclasses.field(default_factory=dict)
     waiting: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    using: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    shortage: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def put(self, answer: models.GrantAnswer, asked_s: float) -> None:
         """Keep the grants of an answer that was asked for at ``asked_s``."""
         for grant in answer.grants:
-            self.grants[grant.group_id] = (grant, asked_s + grant.ttl_s)
+            before = self.book.held.get(grant.group_id)
+            if before and before.grant.incarnation != grant.incarnation:
+                routing.forget_group(self.view, grant.group_id)
+        grant_book.take_answer(self.book, answer, asked_s, trio.current_time())
+
+    def count_wanted(self, service: str) -> int:
+        """Return the places that this entry could use."""
+        busy = self.using[service] + self.waiting[service]
+        return busy + SPARE_PLACES + math.ceil(busy * SPARE_RATIO)
 
     def find(
-        self, service: str, now_s: float, excluded: set[str]
+        self,
+        service: str,
+        now_s: float,
+        excluded: set[str],
+        prefix: int | None = None,
     ) -> models.Grant | None:
-        """Return the live grant of a service with the most free places."""
-        best: tuple[int, models.Grant] | None = None
-        for grant, expires_s in self.grants.values():
-            free = grant.places - self.in_flight[grant.group_id]
-            is_usable = (
-                grant.service == service
-                and now_s < expires_s
-                and free > 0
-                and grant.group_id not in excluded
-            )
-            if is_usable and (best is None or free > best[0]):
-                best = (free, grant)
-        return best[1] if best else None
+        """Return the grant to use for a request, or None."""
+        held = routing.choose(
+            self.book, service, prefix, self.view, self.tiers, now_s, excluded
+        )
+        if held is None:
+            self.shortage.set()
+            return None
+        return held.grant
+
+    def begin(self, grant: models.Grant, prefix: int | None = None) -> bool:
+        """Take a place; return False if the grant has lapsed meanwhile."""
+        now_s = trio.current_time()
+        if not grant_book.begin(self.book, grant.group_id, now_s):
+            return False
+        self.using[grant.service] += 1
+        if prefix is not None:
+            routing.note_stored(self.view, grant.group_id, prefix)
+        return True
+
+    def end(self, grant: models.Grant) -> None:
+        """Give a place back."""
+        self.using[grant.service] -= 1
+        grant_book.end(self.book, grant.group_id)
+
+    def list_cold(self) -> set[str]:
+        """Return the groups that still bear less than a warm one."""
+        return {
+            group_id
+            for group_id, held in self.book.held.items()
+            if not held.grant.warm
+        }
