Probe in a lost owner's place while the log cannot be read

Cause: an acting grantor had no probes of its own to rest its grants on, and an entry that wakes from a pause could take its old soundness for new.

--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -75,6 +75,7 @@
         nursery.start_soon(fleet.claim_units, env)
         nursery.start_soon(owner.run, own)
         nursery.start_soon(peer_watch.run, watch)
+        nursery.start_soon(grantor.run, granter)
         nursery.start_soon(grant_user.ask_for_grants, user)
         nursery.start_soon(
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
--- a/src/sycamorespool/decisions/membership.py
+++ b/src/sycamorespool/decisions/membership.py
@@ -48,11 +48,14 @@
         When its status was taken in.
     log : pings.LogView or None
         How far it has read the log, as it said itself.
+    log_s : float
+        When it said so.
     """
 
     update: pings.Update
     since_s: float
     log: pings.LogView | None = None
+    log_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,6 +181,7 @@
     member = state.members.get(message.sender)
     if member is not None:
         member.log = message.log
+        member.log_s = now_s
 
 
 def suspect(state: Membership, target: str, now_s: float) -> None:
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -1,6 +1,7 @@
 """The grantor: leave to send work to the groups of the owned domains."""
 
 import dataclasses
+import math
 
 import trio
 
@@ -15,6 +16,8 @@
 
 LEASE_S = 3.0
 SOUND_LOG_S = 2.0
+PAUSE_S = 2.0
+WATCH_PERIOD_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +34,8 @@
         Epoch of the ownership and ledger, by unit.
     sound_since_s : float or None
         Since when the log was read and half of the entries were heard.
+    watched_s : float
+        When that was last checked.
     """
 
     owner: owner.Owner
@@ -39,6 +44,7 @@
         default_factory=dict
     )
     sound_since_s: float | None = None
+    watched_s: float = -math.inf
 
 
 def _make_standing(
@@ -46,35 +52,74 @@
 ) -> mandates.Standing:
     env, watch = grantor.owner.env, grantor.watch
     unread_s = now_s - env.log_read_s
-    sound_s = 0.0
-    if grantor.sound_since_s is not None:
-        sound_s = now_s - grantor.sound_since_s
-    heard = peer_watch.list_heard(watch)
     predecessor = record.predecessor
     return mandates.Standing(
         env.name,
         record.entry,
         may_act=grantor.owner.owns(unit) and unread_s < LEASE_S,
         log_unread_s=unread_s,
-        sound_s=sound_s,
+        sound_s=_tell_sound_s(grantor, now_s),
         is_predecessor_settled=predecessor is not fleet.Predecessor.ACTIVE,
-        presumes_outage=peer_watch.presumes_outage(watch),
+        presumes_outage=peer_watch.presumes_outage(watch, now_s),
         owner_lost_s=peer_watch.lost_for_s(watch, record.entry, now_s),
         known=peer_watch.list_known(watch),
-        heard=heard,
-        confirmed_dead=frozenset(),
+        heard=peer_watch.list_heard(watch),
     )
 
 
-def watch_soundness(grantor: Grantor, now_s: float) -> None:
+def _tell_sound_s(grantor: Grantor, now_s: float) -> float:
+    # A process that was paused does not know what happened meanwhile.
+    was_paused = now_s - grantor.watched_s > PAUSE_S
+    if was_paused or grantor.sound_since_s is None:
+        return 0.0
+    return now_s - grantor.sound_since_s
+
+
+def _watch_soundness(grantor: Grantor, now_s: float) -> None:
     """Note whether the log is read and half of the entries are heard."""
     env, watch = grantor.owner.env, grantor.watch
     heard = peer_watch.list_heard(watch)
     hears_half = 2 * len(heard) >= len(peer_watch.list_known(watch))
-    if now_s - env.log_read_s > SOUND_LOG_S or not hears_half:
+    is_sound = now_s - env.log_read_s <= SOUND_LOG_S and hears_half
+    was_paused = now_s - grantor.watched_s > PAUSE_S
+    if not is_sound:
         grantor.sound_since_s = None
-    elif grantor.sound_since_s is None:
+    elif grantor.sound_since_s is None or was_paused:
         grantor.sound_since_s = now_s
+    grantor.watched_s = now_s
+
+
+async def _probe_groups(grantor: Grantor, unit: str) -> None:
+    """Probe the members of a unit's groups in the lost owner's place."""
+    env = grantor.owner.env
+    async with trio.open_nursery() as nursery:
+        for group in env.fleet.groups.values():
+            for name in group.members:
+                if group.unit == unit and name in env.vms:
+                    nursery.start_soon(
+                        owner.probe, grantor.owner, env.vms[name]
+                    )
+
+
+async def run(grantor: Grantor) -> None:
+    """Watch the grounds of the mandates, and probe while acting."""
+    env = grantor.owner.env
+    while True:
+        now_s = trio.current_time()
+        _watch_soundness(grantor, now_s)
+        for unit, record in list(env.fleet.owners.items()):
+            if record.entry != env.name and _decide(grantor, unit, record):
+                await _probe_groups(grantor, unit)
+        await trio.sleep(WATCH_PERIOD_S)
+
+
+def _decide(
+    grantor: Grantor, unit: str, record: fleet.Ownership
+) -> mandates.Mandate | None:
+    now_s = trio.current_time()
+    standing = _make_standing(grantor, unit, record, now_s)
+    settle_s = peer_watch.settle_s(grantor.watch)
+    return mandates.decide(unit, standing, LEASE_S, settle_s)
 
 
 def _find_ledger(
@@ -140,10 +185,7 @@
     record = env.fleet.owners.get(ask.unit)
     if record is None:
         return None
-    watch_soundness(grantor, now_s)
-    standing = _make_standing(grantor, ask.unit, record, now_s)
-    settle_s = peer_watch.settle_s(grantor.watch)
-    mandate = mandates.decide(ask.unit, standing, LEASE_S, settle_s)
+    mandate = _decide(grantor, ask.unit, record)
     if mandate is None:
         return None
     ledger = _find_ledger(grantor, ask.unit, record, now_s)
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -73,7 +73,8 @@
                 await _plan(owner, domain, unit)
 
 
-async def _probe(owner: Owner, vm: models.Vm) -> None:
+async def probe(owner: Owner, vm: models.Vm) -> None:
+    """Probe a VM and keep its report."""
     started_s = trio.current_time()
     try:
         report = await owner.prober.probe(vm.address)
@@ -86,7 +87,7 @@
     env = owner.env
     async with trio.open_nursery() as nursery:
         for vm in env.backends(domain).values():
-            nursery.start_soon(_probe, owner, vm)
+            nursery.start_soon(probe, owner, vm)
     batch = _dissolve_broken(owner, unit) or _form_groups(owner, domain, unit)
     if batch:
         try:
--- a/src/sycamorespool/peer_watch.py
+++ b/src/sycamorespool/peer_watch.py
@@ -19,6 +19,7 @@
 LAST_PINGS = 8
 SETTLE_PERIODS = 3
 READABLE_LOG_S = 2.0
+VIEW_AGE_S = 1.5
 
 log = logs.make_logger("peers")
 
@@ -75,15 +76,20 @@
     return now_s - member.since_s
 
 
-def presumes_outage(watch: PeerWatch) -> bool:
-    """Tell whether most of the entries heard cannot read the log."""
+def presumes_outage(watch: PeerWatch, now_s: float) -> bool:
+    """Tell whether most entries heard just now cannot read the log.
+
+    An entry that has no other presumes so; one that hears no other does
+    not, because it may be cut off alone.
+    """
+    members = watch.state.members.values()
     views = [
-        watch.state.members[name].log
-        for name in membership.names_of(watch.state, pings.Status.ALIVE)
+        member.log
+        for member in members
+        if member.log is not None and now_s - member.log_s < VIEW_AGE_S
     ]
-    known = [view for view in views if view is not None]
-    cut = sum(not view.is_readable for view in known)
-    return 2 * cut >= len(known)
+    cut = sum(not view.is_readable for view in views)
+    return 2 * cut >= len(views) if views else not members
 
 
 def settle_s(watch: PeerWatch) -> float:
