--- a/src/sycamorespool/decisions/membership.py
+++ b/src/sycamorespool/decisions/membership.py
@@ -48,11 +48,14 @@
         When its status was taken in.
     log : pings.LogView or None
         How far it has read the log, as it said itself.
+    log_s : float
+        When it said so.
     """
 
     update: pings.Update
     since_s: float
     log: pings.LogView | None = None
+    log_s: float = -math.inf
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,11 +90,11 @@
 
 
 def join(
-    entry: str, address: str, data_centre: str, incarnation: int
+    entry: str, address: str, data_centre: str, region: str, incarnation: int
 ) -> Membership:
     """Return the membership of an entry that has just started."""
     own = pings.Update(
-        entry, address, data_centre, incarnation, 0, pings.Status.ALIVE
+        entry, address, data_centre, incarnation, 0, pings.Status.ALIVE, region
     )
     return Membership(own, unsent={entry: 0})
 
@@ -178,6 +181,7 @@
     member = state.members.get(message.sender)
     if member is not None:
         member.log = message.log
+        member.log_s = now_s
 
 
 def suspect(state: Membership, target: str, now_s: float) -> None:
