--- a/src/sycamorespool/admission.py
+++ b/src/sycamorespool/admission.py
@@ -37,6 +37,8 @@
 
     Parameters
     ----------
+    prefix : int, optional
+        Key of the prompt's beginning.
     excluded : set of str
         Groups at which an attempt of the request failed.
     timeout_s : float
@@ -48,6 +50,7 @@
     priority: str
     service: str
     timeout_s: float
+    prefix: int | None = None
     excluded: set[str] = dataclasses.field(default_factory=set)
 
 
@@ -317,8 +320,9 @@
             waiter = self._waiters[ticket.ticket_id]
             blocked = self._list_blocked(held, now_s)
             excluded = waiter.wish.excluded | blocked
-            grant = held.find(service, now_s, excluded)
-            if grant is not None and held.begin(grant):
+            prefix = waiter.wish.prefix
+            grant = held.find(service, now_s, excluded, prefix)
+            if grant is not None and held.begin(grant, prefix):
                 waiter.grant = grant
                 waiter.granted_s = now_s
                 waiter.woken.set()
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -222,7 +222,7 @@
         passed = relay.Relay(send, find_request_id(head))
         started_s = trio.current_time()
         try:
-            if not self._env.is_ready:
+            if not self._env.accepts():
                 raise exceptions.NotRun(
                     "not_ready", "entry is not ready", retry_after_s=1.0
                 )
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -10,6 +10,7 @@
 from sycamorespool import admission
 from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import retries
+from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import journal
@@ -50,6 +51,14 @@
     is_stream: bool = False
     key: str = ""
 
+    @property
+    def prefix(self) -> int | None:
+        """Key of the prompt's beginning, None if there is no prompt."""
+        if not self.is_completion:
+            return None
+        text = self.body[: routing.PREFIX_CHARACTERS].decode("latin-1")
+        return routing.make_prefix_key(self.workspace, text)
+
 
 @contextlib.asynccontextmanager
 async def _attempt(
@@ -147,6 +156,7 @@
             call.priority,
             call.service,
             limits.queue_timeout_s,
+            call.prefix,
         ),
         env.journal.open(
             call.request_id, call.workspace, call.priority, call.service
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -90,6 +90,22 @@
     places: dict[str, float]
 
 
+class StateWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_wanted"
+):
+    """Ask an entry for its state, on behalf of an operator."""
+
+    entry: str
+
+
+class StateGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_given"
+):
+    """The state of the entry that was asked."""
+
+    state: models.EntryState
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """The message was taken in."""
 
@@ -112,6 +128,8 @@
     | KeyRefused
     | KeyReported
     | UsageTold
+    | StateWanted
+    | StateGiven
     | Done
     | Refused
 )
--- a/src/sycamorespool/key_keeper.py
+++ b/src/sycamorespool/key_keeper.py
@@ -5,6 +5,7 @@
 of the partition's stream, and the order of the log alone decides.
 """
 
+from collections import abc
 import dataclasses
 import time
 
@@ -21,9 +22,12 @@
 from sycamorespool import records
 
 CHECK_PERIOD_S = 1.0
+GAUGE_PERIOD_S = 10.0
 FOLLOW_PERIOD_S = 0.25
 REFUSE_AFTER_FAILURE_S = 0.5
 RETRY_AFTER_S = 2.0
+# Under the transport's workers, so that keys never hold up its other calls.
+MAX_ASKS = 224
 ANSWER_LOST = "log_answer_lost"
 
 log = logs.make_logger("keys")
@@ -89,11 +93,19 @@
     ----------
     env : environment.Environment
         The entry.
+    list_heard : callable
+        Returns the entries that are held alive.
     """
 
-    def __init__(self, env: environment.Environment) -> None:
+    def __init__(
+        self,
+        env: environment.Environment,
+        list_heard: abc.Callable[[], abc.Collection[str]],
+    ) -> None:
         section = env.settings.keys
         self.env = env
+        self.asks_open = 0
+        self._list_heard = list_heard
         self.window_s = section.window_s
         self.retention_s = section.log_retention_s
         self.policy = key_batches.BatchPolicy(
@@ -114,7 +126,9 @@
 
     def rank_keepers(self, partition: Partition) -> list[str]:
         """Return the entries that may keep a partition, the best first."""
-        return rendezvous.rank(partition.unit, self.env.entries())
+        known = self.env.entries()
+        heard = known.keys() & set(self._list_heard())
+        return rendezvous.rank(partition.unit, heard)
 
     def keeps(self, partition: Partition) -> bool:
         """Tell whether this entry is the keeper of a partition."""
@@ -247,6 +261,19 @@
         raise _refuse("log_unavailable", str(error)) from error
 
 
+async def ask_for_peer(
+    keeper: KeyKeeper, intent: records.KeyIntent, wait_s: float
+) -> Answer:
+    """Rule for another entry, as :func:`ask`; bounded in number."""
+    if keeper.asks_open >= MAX_ASKS:
+        raise _refuse("key_backlog", "too many keyed calls wait")
+    keeper.asks_open += 1
+    try:
+        return await ask(keeper, intent, wait_s)
+    finally:
+        keeper.asks_open -= 1
+
+
 def _note_failure(partition: Partition) -> None:
     partition.down_until_s = trio.current_time() + REFUSE_AFTER_FAILURE_S
 
@@ -342,8 +369,22 @@
     partition.snapshot_unix_s = now_unix_s
 
 
+def _set_gauges(keeper: KeyKeeper) -> None:
+    began_unix_s = [
+        key.changed_unix_s
+        for partition in keeper.partitions.values()
+        if partition.state is not None
+        for _, _, key in keys.list_open(partition.state)
+    ]
+    metrics = keeper.env.metrics
+    metrics.set("keys_without_outcome", len(began_unix_s))
+    age_s = time.time() - min(began_unix_s, default=time.time())
+    metrics.set("key_without_outcome_age_max_s", max(0.0, age_s))
+
+
 async def _keep(keeper: KeyKeeper) -> None:
     """Hold the partitions of this entry, and no others, in memory."""
+    counted_s = float("-inf")
     while True:
         for partition in keeper.partitions.values():
             if keeper.keeps(partition) and not keeper.env.is_stopping:
@@ -353,6 +394,9 @@
                     log.warning("not kept", unit=partition.unit, error=error)
             elif not partition.appends and not partition.lock.locked():
                 partition.state = None
+        if trio.current_time() - counted_s >= GAUGE_PERIOD_S:
+            counted_s = trio.current_time()
+            _set_gauges(keeper)
         await trio.sleep(CHECK_PERIOD_S)
 
 
--- a/src/sycamorespool/keyed_calls.py
+++ b/src/sycamorespool/keyed_calls.py
@@ -22,8 +22,8 @@
 
 KEY_HEADER = "idempotency-key"
 KEY = re.compile(r"[\x21-\x7e]{1,255}")
-ASK_TIMEOUT_S = 4.0
-ASK_WAIT_S = 1.0
+ASK_TIMEOUT_S = 2.5
+ASK_WAIT_S = 0.5
 KEEPERS_TRIED = 3
 REPORT_RETRY_S = 0.5
 MAX_KEPT_BODY_BYTES = 64 * 1024
@@ -111,12 +111,20 @@
     )
 
 
+async def _call(
+    calls: KeyedCalls, name: str, message: messages.Message
+) -> messages.Message:
+    peer = calls.env.entries().get(name)
+    if peer is None:
+        raise exceptions.PeerUnavailable(f"{name} is gone")
+    return await calls.env.transport.call(peer.address, message, ASK_TIMEOUT_S)
+
+
 async def _ask_peer(
     calls: KeyedCalls, name: str, intent: records.KeyIntent
 ) -> key_keeper.Answer:
     message = messages.KeyAsked(intent, ASK_WAIT_S)
-    address = calls.env.entries()[name].address
-    reply = await calls.env.transport.call(address, message, ASK_TIMEOUT_S)
+    reply = await _call(calls, name, message)
     if isinstance(reply, messages.KeyRuled):
         return key_keeper.Answer(keys.Ruling(reply.ruling), reply.outcome)
     if isinstance(reply, messages.KeyRefused):
@@ -176,12 +184,8 @@
     for name in keeper.rank_keepers(partition)[:KEEPERS_TRIED]:
         if name == calls.env.name:
             return await _append_here(keeper, partition, item)
-        message = _make_report(item)
-        address = calls.env.entries()[name].address
         try:
-            reply = await calls.env.transport.call(
-                address, message, ASK_TIMEOUT_S
-            )
+            reply = await _call(calls, name, _make_report(item))
         except exceptions.PeerError:
             continue
         if isinstance(reply, messages.Done):
@@ -346,7 +350,7 @@
 
     async def rule(message: messages.KeyAsked) -> messages.Message:
         try:
-            answer = await key_keeper.ask(
+            answer = await key_keeper.ask_for_peer(
                 keeper, message.intent, min(ASK_WAIT_S, message.wait_s)
             )
         except exceptions.NotRun as error:
