--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 export PYTHONPATH := src:.
 CODE := src tests benchmarks examples
 
-.PHONY: test lint format check-tests demo bench soak binary clean
+.PHONY: test lint format check-tests demo bench soak binary binary-check clean
+
+BINARY := build/sycamorespool
+UNPACK_ROOT := /run/sycamorespool
 
 $(VENV)/.ready: requirements.lock
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -34,5 +37,16 @@
 soak: $(VENV)/.ready
 	SOAK=1 $(BIN)/python -m pytest tests/decisions
 
+# setuptools would take modules that are gone from its folders of before.
+binary: $(VENV)/.ready
+	rm -rf build/lib build/bdist.* src/*.egg-info
+	$(BIN)/shiv --quiet --compressed --reproducible --console-script sycamorespool \
+		--python '/usr/bin/env python3' --root $(UNPACK_ROOT) \
+		--output-file $(BINARY) --constraint requirements.lock .
+	rm -rf build/lib build/bdist.* src/*.egg-info
+
+binary-check: binary
+	$(BIN)/python -m benchmarks.binary
+
 clean:
 	rm -rf build .pytest_cache .ruff_cache .hypothesis
--- a/examples/processes.py
+++ b/examples/processes.py
@@ -4,6 +4,7 @@
 hosting platform.
 """
 
+from collections import abc
 import dataclasses
 import hashlib
 import pathlib
@@ -39,6 +40,7 @@
 [operators]
 key = demo-operator-key
 """
+FROM_SOURCE = (sys.executable, "-m", "sycamorespool")
 OPERATOR_HEADERS = {"x-operator-key": "demo-operator-key"}
 CALLER_KEY = "demo-caller-key"
 CALLER_KEY_HASH = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
@@ -67,15 +69,30 @@
 
     Use it as an asynchronous context manager; leaving it ends every
     process that it started.
+
+    Parameters
+    ----------
+    program : tuple of str
+        The command that each process begins with.
+    variables : mapping, optional
+        Environment variables, in place of those of this process.
     """
 
-    def __init__(self, load_s: float = 0.3, token_s: float = 0.01) -> None:
+    def __init__(
+        self,
+        load_s: float = 0.3,
+        token_s: float = 0.01,
+        program: tuple[str, ...] = FROM_SOURCE,
+        variables: abc.Mapping[str, str] | None = None,
+    ) -> None:
         self.processes: dict[str, Process] = {}
         self.pool: httpcore.AsyncConnectionPool = http_client.make_pool()
         self._folder = tempfile.TemporaryDirectory()
         self._platform = find_free_address()
         self._load_s = load_s
         self._token_s = token_s
+        self._program = program
+        self._variables = variables
 
     async def __aenter__(self) -> t.Self:
         """Start the platform."""
@@ -106,7 +123,8 @@
         log_path = pathlib.Path(self._folder.name, f"{name}.log")
         with log_path.open("ab") as log_file:
             popen = subprocess.Popen(
-                [sys.executable, "-m", "sycamorespool", *words],
+                [*self._program, *words],
+                env=self._variables,
                 stdout=log_file,
                 stderr=log_file,
             )
--- a/src/sycamorespool/logs.py
+++ b/src/sycamorespool/logs.py
@@ -17,6 +17,7 @@
 import dataclasses
 import types
 
+from absl import flags
 from absl import logging
 from absl.logging import converter
 
@@ -147,5 +148,7 @@
 
 def set_up(verbosity: int = logging.INFO) -> None:
     """Send lines to standard error by absl's handler."""
+    # absl has flags of its own; the command line here is Fire's.
+    flags.FLAGS(["sycamorespool"])
     logging.use_absl_handler()
     logging.set_verbosity(verbosity)
