--- a/examples/processes.py
+++ b/examples/processes.py
@@ -7,6 +7,7 @@
 from collections import abc
 import dataclasses
 import hashlib
+import os
 import pathlib
 import signal
 import socket
@@ -127,6 +128,7 @@
                 env=self._variables,
                 stdout=log_file,
                 stderr=log_file,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
             )
         process = Process(name, popen, address, data_centre)
         self.processes[name] = process
