--- a/examples/processes.py
+++ b/examples/processes.py
@@ -93,7 +93,8 @@
         self._load_s = load_s
         self._token_s = token_s
         self._program = program
-        self._variables = variables
+        search = {"PYTHONPATH": os.pathsep.join(sys.path)}
+        self._variables = variables or {**os.environ, **search}
 
     async def __aenter__(self) -> t.Self:
         """Start the platform."""
@@ -125,10 +126,9 @@
         with log_path.open("ab") as log_file:
             popen = subprocess.Popen(
                 [*self._program, *words],
-                env=self._variables,
                 stdout=log_file,
                 stderr=log_file,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                env=self._variables,
             )
         process = Process(name, popen, address, data_centre)
         self.processes[name] = process
