--- a/src/sycamorespool/records.py
+++ b/src/sycamorespool/records.py
@@ -115,11 +115,23 @@
     body: bytes
 
 
+class KeyWithdrawal(msgspec.Struct, frozen=True):
+    """An attempt that sent nothing and never will; the key is free again.
+
+    Only the attempt itself withdraws, after it can no longer send.
+    """
+
+    workspace: str
+    key: str
+    attempt_id: str
+
+
 class KeyBatch(_Record, frozen=True, tag="key_batch"):
-    """Intents and outcomes of one partition, appended together."""
+    """Records of the keys of one partition, appended together."""
 
     intents: tuple[KeyIntent, ...] = ()
     outcomes: tuple[KeyOutcome, ...] = ()
+    withdrawals: tuple[KeyWithdrawal, ...] = ()
 
 
 class KeySettled(_Record, frozen=True, tag="key_settled"):
@@ -135,11 +147,13 @@
 class Snapshot(_Record, frozen=True, tag="snapshot"):
     """The replayed state of a stream as of ``as_of``.
 
-    ``as_of`` is the offset of the last record that the state includes.
+    ``as_of`` is the offset of the last record that the state includes;
+    ``at_unix_s`` is when it was written, in seconds of Unix time.
     """
 
     as_of: int
     state: dict[str, t.Any]
+    at_unix_s: float = 0.0
 
 
 Record: t.TypeAlias = (
--- /dev/null
+++ b/src/sycamorespool/settings.py
@@ -0,0 +1,296 @@
+"""Settings of one process, read from an INI file and validated.
+
+All faults of a file are reported at once, each with its section, its key
+and what is accepted::
+
+    [limits] queue_timeout_s: '500ms' is not accepted; wanted a number of
+    seconds, as 2.5
+"""
+
+import configparser
+import difflib
+import ipaddress
+import pathlib
+import typing as t
+
+import msgspec
+
+from sycamorespool import exceptions
+
+MAX_SECONDS = 86400.0
+
+Name: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]*$",
+        description="letters, digits, '-', '_' and '.', as entry-1",
+    ),
+]
+Address: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(
+        min_length=1,
+        description="an IP number and port, as 10.0.0.7:8000 or [::1]:8000",
+    ),
+]
+OptionalAddress: t.TypeAlias = t.Annotated[
+    str,
+    msgspec.Meta(description="nothing, or an IP number and port"),
+]
+Secret: t.TypeAlias = t.Annotated[
+    str, msgspec.Meta(min_length=8, description="at least 8 characters")
+]
+Seconds: t.TypeAlias = t.Annotated[
+    float,
+    msgspec.Meta(
+        ge=0.0, le=MAX_SECONDS, description="a number of seconds, as 2.5"
+    ),
+]
+Bytes: t.TypeAlias = t.Annotated[
+    int,
+    msgspec.Meta(gt=0, description="a whole number of bytes, as 1048576"),
+]
+
+
+class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who the entry is and where it stands."""
+
+    name: Name
+    data_centre: Name
+    region: Name = "default"
+
+
+class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses, as ``IP:port``, at which the entry listens."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's service.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the log, the membership list and the store.
+    log_read_lag_s : float
+        Bound on the lag of reads behind acknowledged appends.
+    """
+
+    address: Address
+    log_read_lag_s: Seconds = 0.0
+
+
+class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The protocol between entries."""
+
+    shared_key: Secret
+
+
+class OperatorsSection(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """The operators' API."""
+
+    key: Secret
+
+
+class StatsdSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where metrics go; no address means nowhere."""
+
+    address: OptionalAddress = ""
+    prefix: Name = "sycamorespool"
+
+
+class LimitsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of one entry.
+
+    Parameters
+    ----------
+    queue_timeout_s : float
+        Wait for a free place at a backend server.
+    request_timeout_s : float
+        A whole request, from its admission to its last byte.
+    idle_timeout_s : float
+        Silence of a backend server, or of a caller that takes no bytes,
+        in an open request.
+    head_timeout_s, body_timeout_s : float
+        The head and the body of a caller's request, each until whole.
+    keep_alive_timeout_s : float
+        Wait for the next request on a caller's connection.
+    max_head_bytes, max_body_bytes : int
+        Size of a caller's request.
+    drain_timeout_s : float
+        Wait for open requests after the order to stop.
+    """
+
+    queue_timeout_s: Seconds = 5.0
+    request_timeout_s: Seconds = 600.0
+    idle_timeout_s: Seconds = 30.0
+    head_timeout_s: Seconds = 5.0
+    body_timeout_s: Seconds = 20.0
+    keep_alive_timeout_s: Seconds = 60.0
+    max_head_bytes: Bytes = 32 * 1024
+    max_body_bytes: Bytes = 1024 * 1024
+    drain_timeout_s: Seconds = 30.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of an entry."""
+
+    entry: EntrySection
+    listen: ListenSection
+    platform: PlatformSection
+    peers: PeersSection
+    operators: OperatorsSection
+    statsd: StatsdSection = StatsdSection()
+    limits: LimitsSection = LimitsSection()
+
+
+_Sections: t.TypeAlias = dict[str, dict[str, str]]
+_Faults: t.TypeAlias = list[exceptions.SettingsError]
+
+
+def _hint(word: str, known: t.Iterable[str]) -> str:
+    near = difflib.get_close_matches(word, known, n=1)
+    hint = f"did you mean {near[0]}? " if near else ""
+    return f"{hint}accepted: {', '.join(known)}"
+
+
+def _describe(kind: t.Any) -> str:
+    notes = [
+        note.description
+        for note in getattr(kind, "__metadata__", ())
+        if isinstance(note, msgspec.Meta) and note.description
+    ]
+    return notes[0] if notes else str(kind)
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    try:
+        number = ipaddress.ip_address(host.strip("[]"))
+        is_bracketed = host.startswith("[") and host.endswith("]")
+        return is_bracketed == (number.version == 6) and 0 < int(port) < 65536
+    except ValueError:
+        return False
+
+
+def _is_accepted(value: str, kind: t.Any) -> bool:
+    try:
+        msgspec.convert(value, kind, strict=False)
+    except msgspec.ValidationError:
+        return False
+    is_optional = kind is OptionalAddress
+    if kind is Address or (is_optional and value):
+        return _is_address(value)
+    return True
+
+
+def _find_value_fault(
+    section: str, key: str, value: str, kind: t.Any
+) -> _Faults:
+    if _is_accepted(value, kind):
+        return []
+    shown = "this value" if kind is Secret else repr(value)
+    problem = f"{shown} is not accepted; wanted {_describe(kind)}"
+    return [exceptions.SettingsError(section, key, problem)]
+
+
+def _find_section_faults(
+    name: str, model: type[msgspec.Struct], values: dict[str, str]
+) -> _Faults:
+    kinds = t.get_type_hints(model, include_extras=True)
+    needed = {f.name for f in msgspec.structs.fields(model) if f.required}
+    faults = [
+        exceptions.SettingsError(
+            name, key, f"missing; wanted {_describe(kinds[key])}"
+        )
+        for key in kinds
+        if key in needed and key not in values
+    ]
+    for key, value in values.items():
+        if key in kinds:
+            faults += _find_value_fault(name, key, value, kinds[key])
+        else:
+            problem = f"unknown key; {_hint(key, kinds)}"
+            faults.append(exceptions.SettingsError(name, key, problem))
+    return faults
+
+
+def _find_shared_addresses(listen: dict[str, str]) -> _Faults:
+    first: dict[str, str] = {}
+    faults = []
+    for key, value in listen.items():
+        other = first.setdefault(value, key)
+        if other != key:
+            problem = f"{value!r} is the address of {other} too"
+            faults.append(exceptions.SettingsError("listen", key, problem))
+    return faults
+
+
+def _find_faults(sections: _Sections) -> _Faults:
+    models = t.get_type_hints(Settings)
+    faults = [
+        exceptions.SettingsError(
+            name, "section", f"unknown section; {_hint(name, models)}"
+        )
+        for name in sections
+        if name not in models
+    ]
+    fields = {f.name: f for f in msgspec.structs.fields(Settings)}
+    for name, model in models.items():
+        if name in sections:
+            faults += _find_section_faults(name, model, sections[name])
+        elif fields[name].required:
+            keys = ", ".join(t.get_type_hints(model))
+            faults.append(
+                exceptions.SettingsError(
+                    name, "section", f"missing; it has the keys {keys}"
+                )
+            )
+    return faults + _find_shared_addresses(sections.get("listen", {}))
+
+
+def parse(text: str) -> Settings:
+    """Turn the text of an INI file into settings.
+
+    Raises
+    ------
+    SettingsError
+        If a section or key is unknown, missing or of a wrong type; with
+        several faults it is a ``SettingsFaults``.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        # The lines of the file, and so its keys, are not repeated.
+        problem = f"{type(error).__name__} in line " + str(
+            getattr(error, "lineno", None) or error.errors[0][0]
+        )
+        raise exceptions.SettingsError("file", "syntax", problem) from None
+    sections = {name: dict(parser[name]) for name in parser.sections()}
+    faults = _find_faults(sections)
+    if len(faults) == 1:
+        raise faults[0]
+    if faults:
+        raise exceptions.SettingsFaults(tuple(faults))
+    return msgspec.convert(sections, Settings, strict=False)
+
+
+def load(path: str) -> Settings:
+    """Read settings from a file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is not acceptable.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError("file", path, str(error)) from error
+    return parse(text)
