--- a/benchmarks/vm_model.py
+++ b/benchmarks/vm_model.py
@@ -220,8 +220,8 @@
         if isinstance(action, group_plans.Append):
             self.append(action.record)
         elif isinstance(action, group_plans.Send):
-            if self.vms[action.vm].take(action.order, self.load_s):
-                groups.note_answer(self.memories[domain], action.vm)
+            self.vms[action.vm].take(action.order, self.load_s)
+            groups.note_answer(self.memories[domain], action.vm)
 
     def advance(self, elapsed_s: float) -> None:
         """Let the weight loads go on; they share the rate of the store."""
--- a/src/sycamorespool/decisions/formations.py
+++ b/src/sycamorespool/decisions/formations.py
@@ -30,16 +30,7 @@
 
 def _fill_ratio(view: group_states.DomainView, name: str) -> float:
     replicas = view.state.config.services[name].replicas
-    return count_replicas(view, name) / replicas if replicas else 1.0
-
-
-def count_replicas(view: group_states.DomainView, name: str) -> int:
-    """Count the groups of a service as the log's cap counts them."""
-    groups = view.state.groups.values()
-    replaced = {g.replaces for g in groups if g.replaces}
-    return sum(
-        g.service == name and g.group_id not in replaced for g in groups
-    )
+    return view.state.replica_counts[name] / replicas if replicas else 1.0
 
 
 def _form_service(
@@ -88,7 +79,7 @@
     view: group_states.DomainView, name: str, service: configuration.Service
 ) -> list[str]:
     """List the groups to replace, "" for each replica that is lacking."""
-    lacking = max(0, service.replicas - count_replicas(view, name))
+    lacking = max(0, service.replicas - view.state.replica_counts[name])
     out = _list_out_of_service(view, name) if service.replicas else []
     return [""] * lacking + out
 
@@ -100,13 +91,11 @@
     if all(place.in_service for place in config.data_centres.values()):
         return []
     places = {vm.vm: vm.data_centre for vm in view.fleet}
-    groups = view.state.groups.values()
-    replaced = {g.replaces for g in groups if g.replaces}
     return sorted(
         group.group_id
-        for group in groups
+        for group in view.state.groups.values()
         if group.service == name
-        and group.group_id not in replaced
+        and group.group_id not in view.state.successor_of
         and group.members[0] in places
         and not config.is_in_service(places[group.members[0]])
     )
--- a/src/sycamorespool/decisions/moves.py
+++ b/src/sycamorespool/decisions/moves.py
@@ -103,13 +103,10 @@
 def _is_taken_over(
     draft: group_plans.Draft, group_id: str, is_make_first: bool
 ) -> bool:
-    view = draft.view
-    successors = [
-        g for g in view.state.groups.values() if g.replaces == group_id
-    ]
-    if successors and not is_make_first:
-        return True
-    return any(_has_warmed(draft, g.group_id) for g in successors)
+    successor = draft.view.state.successor_of.get(group_id)
+    if successor is None:
+        return False
+    return not is_make_first or _has_warmed(draft, successor)
 
 
 def _has_warmed(draft: group_plans.Draft, group_id: str) -> bool:
@@ -124,7 +121,7 @@
 def _list_surplus(view: group_states.DomainView) -> set[str]:
     surplus: set[str] = set()
     for name, service in view.state.config.services.items():
-        excess = formations.count_replicas(view, name) - service.replicas
+        excess = view.state.replica_counts[name] - service.replicas
         if excess > 0:
             surplus.update(_choose_surplus(view, name, excess))
     return surplus
@@ -191,8 +188,7 @@
 
 
 def _is_handing_over(draft: group_plans.Draft) -> bool:
-    groups = draft.view.state.groups
-    return any(groups[g].replaces in groups for g in draft.slots)
+    return any(draft.group(g).replaces for g in draft.slots)
 
 
 def _form_successor(draft: group_plans.Draft, group_id: str) -> bool:
@@ -207,8 +203,7 @@
 
 def _replace_leaving(draft: group_plans.Draft) -> None:
     """Form successors of groups of one VM that leaves."""
-    groups = draft.view.state.groups
-    replaced = {g.replaces for g in groups.values()}
+    replaced = draft.view.state.successor_of
     for group_id, slots in draft.slots.items():
         if slots == (_SlotState.LEAVING,) and group_id not in replaced:
             _form_successor(draft, group_id)
