--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -7,8 +7,10 @@
 import trio
 
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import journal
 from sycamorespool import models
 from sycamorespool import relay
 
@@ -44,6 +46,14 @@
     is_completion: bool = False
     is_stream: bool = False
 
+    @property
+    def prefix(self) -> int | None:
+        """Key of the prompt's beginning, None if there is no prompt."""
+        if not self.is_completion:
+            return None
+        text = self.body[: routing.PREFIX_CHARACTERS].decode("latin-1")
+        return routing.make_prefix_key(self.workspace, text)
+
 
 async def _take_place(
     env: environment.Environment, call: Call, excluded: set[str]
@@ -54,7 +64,7 @@
     try:
         while True:
             now_s = trio.current_time()
-            grant = env.held.find(call.service, now_s, excluded)
+            grant = env.held.find(call.service, now_s, excluded, call.prefix)
             if grant is not None:
                 env.metrics.observe(
                     "queue_wait_s",
@@ -99,14 +109,15 @@
         may_reuse=call.is_idempotent,
     )
     idle_s = env.settings.limits.idle_timeout_s
-    env.held.in_flight[grant.group_id] += 1
+    if not env.held.begin(grant, call.prefix):
+        raise exceptions.BackendNotReached("the grant has lapsed")
     try:
         async with stream.open_request(
             env.links, outgoing, idle_s, end_s
         ) as answer:
             yield answer
     finally:
-        env.held.in_flight[grant.group_id] -= 1
+        env.held.end(grant)
 
 
 async def _copy(
@@ -169,6 +180,29 @@
     CallerStalled
         If the caller did not take its answer.
     """
+    trace = env.journal.open(
+        call.request_id, call.workspace, call.priority, call.service
+    )
+    try:
+        await _try_replicas(env, call, passed, trace)
+    except exceptions.NotRun as error:
+        trace.change("not_run", error.code)
+        raise
+    except exceptions.OutcomeUnknown as error:
+        trace.change("outcome_unknown", error.code)
+        raise
+    except BaseException:
+        trace.change("cut")
+        raise
+    trace.change("served")
+
+
+async def _try_replicas(
+    env: environment.Environment,
+    call: Call,
+    passed: relay.Relay,
+    trace: journal.Trace,
+) -> None:
     limits = env.settings.limits
     end_s = trio.current_time() + limits.request_timeout_s
     tries = _Tries()
@@ -177,6 +211,7 @@
             grant = await _take_place(env, call, tries.excluded)
         except exceptions.NotRun as error:
             raise tries.fail(error) from error
+        trace.send(grant.group_id)
         from_token = passed.events.count
         try:
             async with _attempt(env, call, grant, from_token, end_s) as answer:
@@ -188,3 +223,4 @@
             is_late = trio.current_time() >= end_s
             if is_late or not _may_go_on(call, passed, tries):
                 raise tries.fail(error) from error
+            env.metrics.count("attempts_retried", call.workspace)
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -38,6 +38,22 @@
     group_ids: tuple[str, ...]
 
 
+class StateWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_wanted"
+):
+    """Ask an entry for its state, on behalf of an operator."""
+
+    entry: str
+
+
+class StateGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_given"
+):
+    """The state of the entry that was asked."""
+
+    state: models.EntryState
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """The message was taken in."""
 
@@ -55,6 +71,8 @@
     | GrantsWanted
     | GrantsGiven
     | GrantsWithdrawn
+    | StateWanted
+    | StateGiven
     | Done
     | Refused
 )
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -8,10 +8,13 @@
 import trio
 
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import replay
+from sycamorespool.entries import frames
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -40,6 +43,8 @@
         The idle connections to backend servers.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -58,10 +63,13 @@
         default_factory=grants_held.GrantsHeld
     )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
-    # Quoted, as the field hides the module once it has its default.
+    # Quoted, as a field hides its module once it has a default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -115,12 +123,17 @@
 def make_environment(chosen: settings.Settings) -> Environment:
     """Make the environment of a process that starts now."""
     pool = http_client.make_pool()
+    name = chosen.entry.name
+    incarnation = int(time.time() * 1000)
     return Environment(
         chosen,
-        int(time.time() * 1000),
+        incarnation,
         pool,
         log.LogClient(pool, chosen.platform.address),
-        transport.Transport(),
+        transport.Transport(
+            frames.Codec(chosen.peers.shared_key.encode(), name, incarnation)
+        ),
+        held=grants_held.GrantsHeld(grant_book.GrantBook(name, incarnation)),
     )
 
 
