--- a/src/sycamorespool/key_keeper.py
+++ b/src/sycamorespool/key_keeper.py
@@ -18,6 +18,7 @@
 from sycamorespool.decisions import rendezvous
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import key_streams
 from sycamorespool import logs
 from sycamorespool import records
 
@@ -41,51 +42,6 @@
     outcome: records.KeyOutcome | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Append:
-    """One wait for an append; ``error`` tells how it went."""
-
-    event: trio.Event = dataclasses.field(default_factory=trio.Event)
-    error: exceptions.PlatformError | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Partition:
-    """One partition at one keeper.
-
-    Parameters
-    ----------
-    state : keys.PartitionState, optional
-        The replayed stream, None until it is read.
-    appends : list
-        Waits for the next append, with the id of their item's attempt.
-    down_until_s : float
-        Until when callers are refused without asking the log again.
-    """
-
-    number: int
-    batcher: key_batches.Batcher
-    state: keys.PartitionState | None = None
-    appends: list[tuple[key_batches.Item, _Append]] = dataclasses.field(
-        default_factory=list
-    )
-    added: trio.Event = dataclasses.field(default_factory=trio.Event)
-    lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
-    followed_s: float = float("-inf")
-    down_until_s: float = float("-inf")
-    snapshot_unix_s: float = 0.0
-
-    @property
-    def unit(self) -> str:
-        """Name of the partition among the units of the fleet."""
-        return keys.unit_of(self.number)
-
-    @property
-    def stream(self) -> str:
-        """Stream of the log that holds the partition."""
-        return keys.stream_of(self.number)
-
-
 class KeyKeeper:
     """The partitions that this entry keeps.
 
@@ -112,25 +68,25 @@
             section.partitions, section.appends_per_s
         )
         self.partitions = {
-            number: Partition(
+            number: key_streams.Partition(
                 number,
                 key_batches.make_batcher(self.policy, 0.0),
             )
             for number in range(section.partitions)
         }
 
-    def find(self, workspace: str, key: str) -> Partition:
+    def find(self, workspace: str, key: str) -> key_streams.Partition:
         """Return the partition of a key."""
         count = self.policy.partitions
         return self.partitions[keys.partition_of(workspace, key, count)]
 
-    def rank_keepers(self, partition: Partition) -> list[str]:
+    def rank_keepers(self, partition: key_streams.Partition) -> list[str]:
         """Return the entries that may keep a partition, the best first."""
         known = self.env.entries()
         heard = known.keys() & set(self._list_heard())
         return rendezvous.rank(partition.unit, heard)
 
-    def keeps(self, partition: Partition) -> bool:
+    def keeps(self, partition: key_streams.Partition) -> bool:
         """Tell whether this entry is the keeper of a partition."""
         return self.rank_keepers(partition)[:1] == [self.env.name]
 
@@ -139,62 +95,20 @@
     return exceptions.NotRun(code, detail, retry_after_s=RETRY_AFTER_S)
 
 
-async def _read_all(
-    keeper: KeyKeeper, partition: Partition
-) -> keys.PartitionState:
-    client = keeper.env.log
-    entries: list[records.LogEntry] = []
-    try:
-        page = await client.read(partition.stream, 0)
-    except exceptions.RecordsExpired as error:
-        page = await client.read(partition.stream, error.first_offset)
-    first = page.first
-    while page.entries:
-        entries += page.entries
-        page = await client.read(partition.stream, entries[-1].offset + 1)
-    return key_snapshots.restore(entries, first, keeper.window_s)
-
-
-async def _read_on(
-    keeper: KeyKeeper, partition: Partition, state: keys.PartitionState
-) -> None:
-    while True:
-        page = await keeper.env.log.read(partition.stream, state.offset + 1)
-        for entry in page.entries:
-            if entry.offset != state.offset + 1:
-                raise exceptions.PlatformUnavailable("the log has a gap")
-            keys.apply(state, entry.offset, entry.record, keeper.window_s)
-        if state.offset + 1 >= page.head:
-            return
-
-
-async def follow(keeper: KeyKeeper, partition: Partition) -> None:
-    """Replay the stream of a partition to its head.
-
-    Raises
-    ------
-    PlatformError
-        If the log cannot be read, or has lost records that were needed.
-    """
-    async with partition.lock:
-        if partition.state is not None:
-            try:
-                await _read_on(keeper, partition, partition.state)
-            except exceptions.RecordsExpired:
-                partition.state = None
-        if partition.state is None:
-            partition.state = await _read_all(keeper, partition)
-        partition.followed_s = trio.current_time()
+async def _follow(keeper: KeyKeeper, partition: key_streams.Partition) -> None:
+    await key_streams.follow(keeper.env.log, partition, keeper.window_s)
 
 
-async def _follow_lately(keeper: KeyKeeper, partition: Partition) -> None:
+async def _follow_lately(
+    keeper: KeyKeeper, partition: key_streams.Partition
+) -> None:
     age_s = trio.current_time() - partition.followed_s
     if partition.state is None or age_s >= FOLLOW_PERIOD_S:
-        await follow(keeper, partition)
+        await _follow(keeper, partition)
 
 
 def _answer(
-    keeper: KeyKeeper, partition: Partition, call: keys.Call
+    keeper: KeyKeeper, partition: key_streams.Partition, call: keys.Call
 ) -> Answer:
     state = partition.state or keys.PartitionState()
     ruling = keys.rule(state, call, keeper.window_s)
@@ -204,7 +118,7 @@
 
 
 async def append(
-    keeper: KeyKeeper, partition: Partition, item: key_batches.Item
+    keeper: KeyKeeper, partition: key_streams.Partition, item: key_batches.Item
 ) -> None:
     """Have an item appended with the next batch.
 
@@ -219,7 +133,7 @@
     """
     if not key_batches.add(keeper.policy, partition.batcher, item):
         raise _refuse("key_backlog", "too many keyed calls wait for the log")
-    wait = _Append()
+    wait = key_streams.Append()
     partition.appends.append((item, wait))
     partition.added.set()
     await wait.event.wait()
@@ -250,7 +164,7 @@
     )
     try:
         if partition.state is None:
-            await follow(keeper, partition)
+            await _follow(keeper, partition)
         return await _decide(keeper, partition, call, intent, wait_s)
     except exceptions.KeyHistoryLost as error:
         raise _refuse("key_history_lost", str(error)) from error
@@ -274,13 +188,13 @@
         keeper.asks_open -= 1
 
 
-def _note_failure(partition: Partition) -> None:
+def _note_failure(partition: key_streams.Partition) -> None:
     partition.down_until_s = trio.current_time() + REFUSE_AFTER_FAILURE_S
 
 
 async def _decide(
     keeper: KeyKeeper,
-    partition: Partition,
+    partition: key_streams.Partition,
     call: keys.Call,
     intent: records.KeyIntent,
     wait_s: float,
@@ -300,7 +214,9 @@
 
 
 async def _append_batch(
-    keeper: KeyKeeper, partition: Partition, batch: records.KeyBatch
+    keeper: KeyKeeper,
+    partition: key_streams.Partition,
+    batch: records.KeyBatch,
 ) -> exceptions.PlatformError | None:
     """Append a batch and replay it; return what went wrong.
 
@@ -312,14 +228,14 @@
     except exceptions.PlatformError as error:
         return error
     try:
-        await follow(keeper, partition)
+        await _follow(keeper, partition)
     except exceptions.PlatformError as error:
         return exceptions.OutcomeLost(str(error))
     return None
 
 
 def _end_waits(
-    partition: Partition,
+    partition: key_streams.Partition,
     batch: records.KeyBatch,
     error: exceptions.PlatformError | None,
 ) -> None:
@@ -331,7 +247,9 @@
         wait.event.set()
 
 
-async def _append_batches(keeper: KeyKeeper, partition: Partition) -> None:
+async def _append_batches(
+    keeper: KeyKeeper, partition: key_streams.Partition
+) -> None:
     policy, batcher = keeper.policy, partition.batcher
     while True:
         now_s = trio.current_time()
@@ -353,7 +271,9 @@
         _end_waits(partition, batch, error)
 
 
-async def _write_snapshot(keeper: KeyKeeper, partition: Partition) -> None:
+async def _write_snapshot(
+    keeper: KeyKeeper, partition: key_streams.Partition
+) -> None:
     await _follow_lately(keeper, partition)
     state = partition.state
     now_unix_s = time.time()
--- a/src/sycamorespool/keyed_calls.py
+++ b/src/sycamorespool/keyed_calls.py
@@ -16,6 +16,7 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import key_keeper
+from sycamorespool import key_streams
 from sycamorespool import logs
 from sycamorespool import records
 from sycamorespool import relay
@@ -161,7 +162,7 @@
 
 async def _append_here(
     keeper: key_keeper.KeyKeeper,
-    partition: key_keeper.Partition,
+    partition: key_streams.Partition,
     item: key_batches.Item,
 ) -> bool:
     try:
