--- a/src/sycamorespool/operators/explain.py
+++ b/src/sycamorespool/operators/explain.py
@@ -148,11 +148,12 @@
         f"members {', '.join(group.members)} of {group.service}",
         view.describe_owner(group.unit),
     ]
-    held = view.env.held.grants.get(name)
-    if held is not None and held[1] > view.now_s:
-        warmth = "warm" if held[0].warm else "cold"
+    held = view.env.held.book.held.get(name)
+    if held is not None and held.until_s > view.now_s:
+        warmth = "warm" if held.grant.warm else "cold"
         reasons.append(
-            f"this entry may have {held[0].places} requests there ({warmth})"
+            f"this entry may have {held.grant.places} requests there "
+            f"({warmth})"
         )
     if not view.own.owns(group.unit):
         reasons.append("ask its owner which members are missing")
