Turn a results file into one page with plots

Cause: results were a JSON file to be read by eye. Not shown yet: histograms of shares, which no benchmark writes.

--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -18,6 +18,7 @@
 from sycamorespool import exceptions
 from sycamorespool import logs
 from sycamorespool.operators import commands
+from sycamorespool import report as report_pages
 from sycamorespool import settings as settings_files
 from sycamorespool.standins import engine
 from sycamorespool.standins import platform
@@ -181,6 +182,16 @@
 
         return command_words.Task(run)
 
+    @command_words.command
+    def report(self, results: str, page: str) -> command_words.Task:
+        """Turn a results file of the benchmarks into one HTML page."""
+
+        def run() -> commands.Result:
+            report_pages.write(results, page)
+            return commands.Result({"page": page}, f"{page}: written")
+
+        return command_words.Task(run)
+
     @command_words.command
     def patch(
         self,
