--- a/src/sycamorespool/decisions/decline.py
+++ b/src/sycamorespool/decisions/decline.py
@@ -21,6 +21,7 @@
     stranded_s: dict[str, float] = dataclasses.field(default_factory=dict)
     below_s: dict[str, float] = dataclasses.field(default_factory=dict)
     cold_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    quarantined_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,3 +112,42 @@
         {name: now_s - state.below_s.get(name, now_s) for name in serving},
         _follow(state.cold_s, whole & cold, now_s),
     )
+
+
+def find_quarantine_age(
+    state: DeclineState, until_s: abc.Mapping[str, float], now_s: float
+) -> tuple[int, float]:
+    """Return how many VMs are in quarantine, and the longest stay, in s.
+
+    Parameters
+    ----------
+    until_s : mapping
+        Monotonic time at which the quarantine of each VM ends.
+    """
+    now = {name for name, end_s in until_s.items() if now_s < end_s}
+    return len(now), _follow(state.quarantined_s, now, now_s)
+
+
+def find_share_errors(
+    using: abc.Mapping[str, float], due: abc.Mapping[str, float]
+) -> dict[str, float]:
+    """Return the share received less the share due, by workspace.
+
+    Parameters
+    ----------
+    using, due : mapping
+        Places in use and places due, of which a workspace that wants less
+        is due no more than that.
+
+    Example
+    -------
+    >>> find_share_errors({"a": 3, "b": 1}, {"a": 5, "b": 5})
+    {'a': 0.25, 'b': -0.25}
+    """
+    used = sum(using.get(name, 0.0) for name in due)
+    total = sum(due.values())
+    if not used or not total:
+        return dict.fromkeys(due, 0.0)
+    return {
+        name: using.get(name, 0.0) / used - due[name] / total for name in due
+    }
--- a/src/sycamorespool/gauges.py
+++ b/src/sycamorespool/gauges.py
@@ -26,6 +26,7 @@
         self._set_entry(now_s)
         self._set_ownership()
         self._set_decline(now_s)
+        self._set_shares()
 
     def _set_entry(self, now_s: float) -> None:
         env = self.env
@@ -90,3 +91,11 @@
             env.metrics.set("groups_wanted", service.replicas, name)
             env.metrics.set("groups_serving", serving, name)
             env.metrics.set("below_capacity_age_s", age_s, name)
+
+    def _set_shares(self) -> None:
+        env = self.env
+        for service, due in env.admission.local.items():
+            using = env.admission.using[service]
+            errors = decline.find_share_errors(using, due)
+            for workspace, error in errors.items():
+                env.metrics.set("share_error", error, service, workspace)
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -124,8 +124,8 @@
     "share_error": Metric(
         "gauge",
         "ratio",
-        _CLASS,
-        "Share of the capacity received less the share due.",
+        ("service", "workspace"),
+        "Share of the entry's places received less the share due.",
     ),
     "log_lag_s": Metric(
         "gauge", "s", (), "Age of the last read that reached the log's head."
--- a/tests/decisions/test_decline.py
+++ b/tests/decisions/test_decline.py
@@ -88,3 +88,29 @@
     )
     def test_what_is_out_of_service_is_not_stranded(self, patch):
         assert Watch(make_fleet(patch)).look(0.0, set()).vms_stranded == 0
+
+
+class TestQuarantine:
+    def test_age_runs_from_the_first_sight(self):
+        state = decline.DeclineState()
+        until_s = {"v1": 40.0, "v2": 15.0, "v3": 1.0}
+        found = [
+            decline.find_quarantine_age(state, until_s, now_s)
+            for now_s in (10.0, 20.0, 39.0, 41.0)
+        ]
+        assert found == [(2, 0.0), (1, 10.0), (1, 29.0), (0, 0.0)]
+
+
+class TestShares:
+    @pytest.mark.parametrize(
+        ("using", "due", "errors"),
+        [
+            ({}, {}, {}),
+            ({}, {"a": 1.0}, {"a": 0.0}),
+            ({"a": 3}, {}, {}),
+            ({"a": 3, "b": 1}, {"a": 5.0, "b": 5.0}, {"a": 0.25, "b": -0.25}),
+            ({"a": 4}, {"a": 2.0, "b": 2.0}, {"a": 0.5, "b": -0.5}),
+        ],
+    )
+    def test_error_is_received_less_due(self, using, due, errors):
+        assert decline.find_share_errors(using, due) == errors
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,6 +12,7 @@
 from sycamorespool import metric_table
 from sycamorespool import metrics
 
+SOURCE = pathlib.Path(metrics.__file__).parent
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "metrics.md"
 
 
@@ -143,6 +144,16 @@
 
 
 class TestPage:
+    @pytest.mark.parametrize("name", metric_table.METRICS)
+    def test_metric_is_kept_somewhere(self, name):
+        users = [
+            path.name
+            for path in SOURCE.rglob("*.py")
+            if path.name != "metric_table.py"
+            and f'"{name}"' in path.read_text()
+        ]
+        assert users
+
     def test_page_and_table_agree(self):
         rows = re.findall(
             r"^\| `(\w+)` \| (\w+) \| (\w+) \| ([\w, ]*) \| (.+?) \|",
