Bound a survey of 380 entries under the client's patience

Cause: with half of 380 entries silent, as when two regions lose each other, the answer took 6.0 s of simulated time at the usual timeout of 1 s for each call, 32 at a time; with all silent it would be 12 s, and the client gives up after 10 s. Ruled out: more calls at once (they would close the sockets that grants use: the transport keeps 64). After: 0.75 s for each call, under 5 s with half silent.

--- a/src/sycamorespool/survey.py
+++ b/src/sycamorespool/survey.py
@@ -14,7 +14,9 @@
 from sycamorespool import models
 from sycamorespool import owner
 
+# Under the transport's sockets, so that a survey closes none in use.
 PARALLEL_CALLS = 32
+ASK_TIMEOUT_S = 0.75
 Survey = dict[str, models.EntryState | None]
 
 
@@ -60,7 +62,7 @@
     async with limiter:
         try:
             reply = await env.transport.call(
-                peer.address, messages.StateWanted(env.name)
+                peer.address, messages.StateWanted(env.name), ASK_TIMEOUT_S
             )
         except exceptions.PeerError:
             return
