Settle open keys, and mend what real processes showed

Two faults of the wiring, each seen as a connection closed without an answer: a workspace got the weight 0 while no place was granted, and a repeat that waited was told to append when the first call withdrew, which had no answer. Both have a test of their own now.

Operators list the keys without outcome over all entries and settle one by its attempt, if it is older than an attempt may still send.

Real processes: a charge runs once through two entries and after one is killed; the log down refuses with not run and nothing runs; an entry killed within a call leaves a key that is listed and never run again; three entries replaced under load answer every charge with 200, each run once.

--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -15,6 +15,7 @@
 from sycamorespool import grant_user
 from sycamorespool import grantor
 from sycamorespool import key_keeper
+from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
 from sycamorespool import metrics
 from sycamorespool.operators import api
@@ -44,6 +45,7 @@
         messages.StateWanted: survey.make_handler(watch.env, own),
         **peer_watch.make_handlers(watch),
         **keyed_calls.make_handlers(keeper),
+        **key_settlement.make_handlers(keeper),
         **usage_exchange.make_handlers(exchange),
     }
 
@@ -105,7 +107,7 @@
             env.transport.codec,
             _make_peer_handlers(own, watch, user, keeper, exchange),
         )
-        operators = api.make_app(env, own)
+        operators = api.make_app(env, own, keeper)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
         logging.info("entry: started name=%s", env.name)
         await callers_app.serve(env, stop, keyed)
--- a/src/sycamorespool/decisions/shares.py
+++ b/src/sycamorespool/decisions/shares.py
@@ -279,7 +279,7 @@
     local = {
         name: due[name] * demand / fleet[name]
         for name, demand in own.demands.items()
-        if demand > 0 and name in weights
+        if demand > 0 and due.get(name, 0.0) > 0
     }
     return local, sum(local.values())
 
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -72,6 +72,22 @@
     withdrawal: records.KeyWithdrawal | None = None
 
 
+class OpenKeysWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="open_keys_wanted"
+):
+    """Ask an entry for the keys without outcome that it keeps."""
+
+    entry: str
+
+
+class OpenKeysGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="open_keys_given"
+):
+    """The oldest keys without outcome of an entry's partitions."""
+
+    keys: tuple[models.OpenKey, ...]
+
+
 class UsageTold(
     msgspec.Struct, frozen=True, array_like=True, tag="usage_told"
 ):
@@ -127,6 +143,8 @@
     | KeyRuled
     | KeyRefused
     | KeyReported
+    | OpenKeysWanted
+    | OpenKeysGiven
     | UsageTold
     | StateWanted
     | StateGiven
--- a/src/sycamorespool/key_keeper.py
+++ b/src/sycamorespool/key_keeper.py
@@ -29,6 +29,8 @@
 RETRY_AFTER_S = 2.0
 # Under the transport's workers, so that keys never hold up its other calls.
 MAX_ASKS = 224
+# The first attempt is at work, or withdrew and left the key free.
+UNDECIDED = frozenset({keys.Ruling.IN_PROGRESS, keys.Ruling.APPEND})
 ANSWER_LOST = "log_answer_lost"
 
 log = logs.make_logger("keys")
@@ -95,7 +97,8 @@
     return exceptions.NotRun(code, detail, retry_after_s=RETRY_AFTER_S)
 
 
-async def _follow(keeper: KeyKeeper, partition: key_streams.Partition) -> None:
+async def follow(keeper: KeyKeeper, partition: key_streams.Partition) -> None:
+    """Replay the stream of a partition to its head."""
     await key_streams.follow(keeper.env.log, partition, keeper.window_s)
 
 
@@ -104,7 +107,7 @@
 ) -> None:
     age_s = trio.current_time() - partition.followed_s
     if partition.state is None or age_s >= FOLLOW_PERIOD_S:
-        await _follow(keeper, partition)
+        await follow(keeper, partition)
 
 
 def _answer(
@@ -164,7 +167,7 @@
     )
     try:
         if partition.state is None:
-            await _follow(keeper, partition)
+            await follow(keeper, partition)
         return await _decide(keeper, partition, call, intent, wait_s)
     except exceptions.KeyHistoryLost as error:
         raise _refuse("key_history_lost", str(error)) from error
@@ -199,18 +202,17 @@
     intent: records.KeyIntent,
     wait_s: float,
 ) -> Answer:
-    answer = _answer(keeper, partition, call)
-    if answer.ruling is keys.Ruling.APPEND:
-        await append(keeper, partition, intent)
+    deadline_s = trio.current_time() + wait_s
+    while True:
         answer = _answer(keeper, partition, call)
         if answer.ruling is keys.Ruling.APPEND:
-            raise exceptions.OutcomeLost("the intent is not replayed yet")
-    with trio.move_on_after(wait_s):
-        while answer.ruling is keys.Ruling.IN_PROGRESS:
-            await trio.sleep(FOLLOW_PERIOD_S / 2)
-            await _follow_lately(keeper, partition)
+            await append(keeper, partition, intent)
             answer = _answer(keeper, partition, call)
-    return answer
+        is_open = answer.ruling in UNDECIDED
+        if not is_open or trio.current_time() >= deadline_s:
+            return answer
+        await trio.sleep(FOLLOW_PERIOD_S / 2)
+        await _follow_lately(keeper, partition)
 
 
 async def _append_batch(
@@ -228,7 +230,7 @@
     except exceptions.PlatformError as error:
         return error
     try:
-        await _follow(keeper, partition)
+        await follow(keeper, partition)
     except exceptions.PlatformError as error:
         return exceptions.OutcomeLost(str(error))
     return None
--- a/src/sycamorespool/keyed_calls.py
+++ b/src/sycamorespool/keyed_calls.py
@@ -279,6 +279,10 @@
         exceptions.NotRun,
         ("key_mismatch", "the key was used with another request", 422),
     ),
+    keys.Ruling.APPEND: (
+        exceptions.NotRun,
+        ("key_undecided", "the log did not decide in time"),
+    ),
     keys.Ruling.WITHDRAWN: (
         exceptions.NotRun,
         ("key_withdrawn", "the attempt was given up"),
@@ -335,7 +339,7 @@
 ) -> asgi.Response:
     deadline_s = trio.current_time() + calls.env.settings.keys.repeat_wait_s
     answer = await _ask(calls, attempt)
-    while answer.ruling is keys.Ruling.IN_PROGRESS:
+    while answer.ruling in key_keeper.UNDECIDED:
         if trio.current_time() >= deadline_s:
             break
         answer = await _ask(calls, attempt)
@@ -343,6 +347,7 @@
         return await _send(calls, attempt, call)
     if answer.ruling is keys.Ruling.REPEAT:
         return _answer_repeat(answer.outcome)
+    attempt.is_loose |= answer.ruling is keys.Ruling.APPEND
     raise _refuse(answer.ruling)
 
 
--- a/src/sycamorespool/models.py
+++ b/src/sycamorespool/models.py
@@ -198,3 +198,21 @@
     unit: str
     config_offset: int
     grants: tuple[Grant, ...] = ()
+
+
+class OpenKey(msgspec.Struct, frozen=True):
+    """An idempotency key whose call was begun and has no outcome.
+
+    Parameters
+    ----------
+    attempt_id, entry : str
+        The attempt that alone may have sent, and its entry.
+    age_s : float
+        Time since its intent.
+    """
+
+    workspace: str
+    key: str
+    attempt_id: str
+    entry: str
+    age_s: float
--- a/src/sycamorespool/operators/api.py
+++ b/src/sycamorespool/operators/api.py
@@ -10,6 +10,8 @@
 
 from sycamorespool import asgi
 from sycamorespool import environment
+from sycamorespool import key_keeper
+from sycamorespool import key_settlement
 from sycamorespool.operators import explain
 from sycamorespool.operators import patches
 from sycamorespool import owner
@@ -74,9 +76,15 @@
 class OperatorsApi:
     """Handlers of the operators' API, by method and path."""
 
-    def __init__(self, env: environment.Environment, own: owner.Owner) -> None:
+    def __init__(
+        self,
+        env: environment.Environment,
+        own: owner.Owner,
+        keeper: key_keeper.KeyKeeper,
+    ) -> None:
         self._env = env
         self._own = own
+        self._keeper = keeper
         self._routes: dict[
             tuple[str, str], abc.Callable[[asgi.Request], Answer]
         ] = {
@@ -88,6 +96,8 @@
             ("GET", "/configuration"): self._tell_configuration,
             ("GET", "/data_centres"): self._list_data_centres,
             ("GET", "/explain"): self._explain,
+            ("GET", "/keys"): self._list_keys,
+            ("POST", "/keys/settle"): self._settle_key,
         }
 
     async def handle(self, request: asgi.Request) -> asgi.Response:
@@ -139,7 +149,17 @@
         name = request.query.get("name", "")
         return asgi.answer_json(explain.explain(view, name))
 
+    async def _list_keys(self, request: asgi.Request) -> asgi.Response:
+        return await key_settlement.list_all(self._keeper)
 
-def make_app(env: environment.Environment, own: owner.Owner) -> asgi.App:
+    async def _settle_key(self, request: asgi.Request) -> asgi.Response:
+        return await key_settlement.settle(self._keeper, request.body)
+
+
+def make_app(
+    env: environment.Environment,
+    own: owner.Owner,
+    keeper: key_keeper.KeyKeeper,
+) -> asgi.App:
     """Make the ASGI application towards operators."""
-    return asgi.make_app(OperatorsApi(env, own).handle)
+    return asgi.make_app(OperatorsApi(env, own, keeper).handle)
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -123,6 +123,11 @@
         assert local["a"] == pytest.approx(60.0)
         assert claim == pytest.approx(60.0 + 30.0 / 9)
 
+    def test_no_places_leave_no_weights(self):
+        own = shares.Usage({"a": 5.0, "gone": 1.0}, 0.0)
+        result = shares.correct_weights(own, [], self.fleet_weights)
+        assert result == ({}, 0)
+
     def test_report_period_keeps_the_bound(self):
         assert shares.report_period_s(9, 200, 4000.0) == 1.0
         assert shares.report_period_s(380, 200, 4000.0) == 19.0
--- /dev/null
+++ b/tests/processes/test_keys.py
@@ -0,0 +1,165 @@
+"""Keyed charges and rolling replacement through real processes."""
+
+import collections
+
+import trio
+
+from examples import demo
+from examples import processes
+from sycamorespool import http_client
+
+DOCUMENT = {
+    "workspaces": {"w": {"key_hashes": [processes.CALLER_KEY_HASH]}},
+    "services": {
+        "orders": {"kind": "plain", "cold_limit": 16, "warm_limit": 32},
+    },
+}
+
+
+async def start(deployment, count=2):
+    await deployment.start_service("shop", "orders", "dakar-a", "f1")
+    names = [f"entry-{number}" for number in range(count)]
+    for name in names:
+        await start_entry(deployment, name)
+    await demo.patch(deployment, names[0], DOCUMENT)
+
+    async def serves():
+        answers = [await charge(deployment, name, "warm") for name in names]
+        return all(status == 200 for status, _ in answers)
+
+    await deployment.wait_for(serves)
+    return names
+
+
+async def start_entry(deployment, name):
+    entry = await deployment.start_entry(name, "dakar-a")
+    await deployment.wait_for(lambda: demo.is_ready(deployment, entry.address))
+
+
+async def charge(deployment, entry, key, body="x"):
+    answer = await demo.post(
+        deployment,
+        entry,
+        "/services/orders/charges",
+        {"id": key, "for": body},
+        {"idempotency-key": key},
+    )
+    return answer.status, answer.body
+
+
+async def count_runs(deployment):
+    address = deployment.processes["shop"].address
+    return (await deployment.get(f"{address}/counts"))["runs"]
+
+
+class TestKeys:
+    def test_charge_runs_once_through_any_entry(self, run_deployed):
+        async def scenario(deployment):
+            one, other = await start(deployment)
+            first = await charge(deployment, one, "k")
+            assert first[0] == 200
+            assert await charge(deployment, other, "k") == first
+            status, body = await charge(deployment, other, "k", "y")
+            assert (status, b"key_mismatch" in body) == (422, True)
+            deployment.kill(one)
+            await deployment.remove(one)
+
+            async def is_kept():
+                return await charge(deployment, other, "k") == first
+
+            await deployment.wait_for(is_kept)
+            assert (await count_runs(deployment))["k"] == 1
+
+        run_deployed(scenario)
+
+    def test_log_down_refuses_and_nothing_runs(self, run_deployed):
+        async def scenario(deployment):
+            one, _ = await start(deployment)
+            await deployment.set_faults("platform", log_down=True)
+            status, body = await charge(deployment, one, "k")
+            assert (status, b"log_unavailable" in body) == (503, True)
+            assert b'"outcome":"not run"' in body
+            assert "k" not in await count_runs(deployment)
+            await deployment.set_faults("platform")
+
+            async def is_served():
+                return (await charge(deployment, one, "k"))[0] == 200
+
+            await deployment.wait_for(is_served)
+            assert (await count_runs(deployment))["k"] == 1
+
+        run_deployed(scenario)
+
+    def test_killed_sender_leaves_a_key_that_is_never_rerun(
+        self, run_deployed
+    ):
+        async def scenario(deployment):
+            one, other = await start(deployment)
+            await deployment.set_faults("shop", slow_s=600)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_in_vain, deployment, one)
+                await deployment.wait_for(lambda: has_run(deployment))
+                deployment.kill(one)
+                await deployment.remove(one)
+                nursery.cancel_scope.cancel()
+            await deployment.set_faults("shop")
+
+            async def is_told():
+                _, body = await charge(deployment, other, "k")
+                return b"key_without_outcome" in body
+
+            await deployment.wait_for(is_told)
+            (row,) = (await deployment.operate(other, "GET", "/keys"))["keys"]
+            assert (row["key"], row["entry"]) == ("k", one)
+            young = {k: row[k] for k in ("workspace", "key", "attempt_id")}
+            answer = await deployment.operate(
+                other, "POST", "/keys/settle", {**young, "resolution": "ran"}
+            )
+            assert answer["status"] == "conflict"
+            assert (await count_runs(deployment))["k"] == 1
+
+        async def send_in_vain(deployment, entry):
+            try:
+                await charge(deployment, entry, "k")
+            except http_client.ExchangeFailed:
+                return
+
+        async def has_run(deployment):
+            return (await count_runs(deployment)).get("k")
+
+        run_deployed(scenario)
+
+
+class TestReplacement:
+    def test_replacing_all_entries_fails_no_request(self, run_deployed):
+        async def scenario(deployment):
+            names = await start(deployment, 3)
+            told = collections.Counter()
+            async with trio.open_nursery() as nursery:
+                for lane in range(4):
+                    nursery.start_soon(
+                        keep_charging, deployment, names, told, lane
+                    )
+                for number, name in enumerate(list(names)):
+                    await start_entry(deployment, f"new-{number}")
+                    names.append(f"new-{number}")
+                    names.remove(name)
+                    assert await deployment.stop(name) == 0
+                    await deployment.remove(name)
+                nursery.cancel_scope.cancel()
+            runs = await count_runs(deployment)
+            assert set(told) == {200}
+            assert set(runs.values()) == {1}
+            assert told[200] > 20
+
+        async def keep_charging(deployment, names, told, lane):
+            count = 0
+            while True:
+                count += 1
+                entry = names[count % len(names)]
+                status, body = await charge(
+                    deployment, entry, f"k{lane}-{count}"
+                )
+                told[status if status == 200 else body] += 1
+
+        run_deployed(scenario)
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -44,6 +44,22 @@
 
         run(scenario)
 
+    def test_waiting_repeat_runs_when_the_first_was_refused(self, run):
+        async def scenario(fleet):
+            fleet.ends.append("refused")
+            answers = []
+
+            async def charge(name):
+                answers.append(await fleet.charge(name))
+
+            async with trio.open_nursery() as nursery:
+                for name in key_fleet.NAMES:
+                    nursery.start_soon(charge, name)
+            told = ["not run: no_capacity", "run 1", "run 1"]
+            assert sorted(answers) == told
+
+        run(scenario)
+
     def test_many_keys_share_appends(self, run):
         async def scenario(fleet):
             async with trio.open_nursery() as nursery:
