--- a/src/sycamorespool/operators/commands.py
+++ b/src/sycamorespool/operators/commands.py
@@ -294,13 +294,22 @@
 
 def list_keys(operator: client.Client) -> Result:
     """List the intents of keyed calls that have no outcome."""
-    keys = operator.get("/keys")
+    found = operator.get("/keys")
     rows = [
-        [key["workspace"], key["key"], key["entry"], key["attempt_id"]]
-        for key in keys
+        [
+            key["workspace"],
+            key["key"],
+            key["entry"],
+            key["attempt_id"],
+            f"{key['age_s']:.0f}",
+        ]
+        for key in found["keys"]
     ]
-    heads = ["WORKSPACE", "KEY", "ENTRY", "ATTEMPT"]
-    return Result(keys, tables.format_table(heads, rows))
+    heads = ["WORKSPACE", "KEY", "ENTRY", "ATTEMPT", "AGE_S"]
+    text = tables.format_table(heads, rows)
+    if found["silent"]:
+        text += f"\nnot asked: {', '.join(found['silent'])}"
+    return Result(found, text)
 
 
 def settle_key(
@@ -322,4 +331,6 @@
     answer = operator.call("POST", "/keys/settle", body)
     status = answer.get("status", "unknown")
     text = f"{status}: {workspace} {key} {resolution}"
+    if answer.get("detail"):
+        text += f"; {answer['detail']}"
     return Result(answer, text, EXIT_OF_STATUS.get(status, EXIT_FAILED))
--- a/tests/key_fleet.py
+++ b/tests/key_fleet.py
@@ -10,6 +10,7 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import key_keeper
+from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -121,7 +122,10 @@
             env.vms = dict(vms)
             keeper = key_keeper.KeyKeeper(env, env.entries)
             nursery.start_soon(key_keeper.run, keeper)
-            self.handlers[name] = keyed_calls.make_handlers(keeper)
+            self.handlers[name] = {
+                **keyed_calls.make_handlers(keeper),
+                **key_settlement.make_handlers(keeper),
+            }
             calls = keyed_calls.KeyedCalls(env, keeper, nursery)
             self.entries[name] = calls
 
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -1,9 +1,11 @@
 """Tests of keyed calls through entries, keeper and log."""
 
+import msgspec
 import pytest
 import trio
 
 from sycamorespool import key_keeper
+from sycamorespool import key_settlement
 from tests import key_fleet
 
 
@@ -199,3 +201,43 @@
             key_keeper.key_attempts, "is_clock_trusted", lambda *_: False
         )
         run(scenario)
+
+
+class TestSettlement:
+    @pytest.mark.parametrize(
+        ("resolution", "told"),
+        [
+            ("ran", "unknown: key_settled_ran"),
+            ("not_run", "not run: key_settled_not_run"),
+        ],
+    )
+    def test_open_key_is_listed_and_settled_once(
+        self, run, monkeypatch, resolution, told
+    ):
+        async def scenario(fleet):
+            fleet.ends.append("cut")
+            await fleet.charge("entry-1")
+            keeper = fleet.entries[fleet.find_others()[0]].keeper
+            fleet.dead.add(fleet.find_others()[1])
+            listed = msgspec.json.decode(
+                (await key_settlement.list_all(keeper)).body
+            )
+            (row,) = listed["keys"]
+            assert listed["silent"] == [fleet.find_others()[1]]
+            body = {k: row[k] for k in ("workspace", "key", "attempt_id")}
+            order = msgspec.json.encode({**body, "resolution": resolution})
+
+            async def settle():
+                answer = await key_settlement.settle(keeper, order)
+                return msgspec.json.decode(answer.body)["status"]
+
+            assert await settle() == "conflict"
+            young = key_settlement.key_attempts
+            monkeypatch.setattr(young, "SEND_WITHIN_S", -100.0)
+            assert await settle() == "accepted"
+            assert await settle() == "conflict"
+            monkeypatch.setattr(young, "SEND_WITHIN_S", 600.0)
+            assert await fleet.charge("entry-1") == told
+            assert fleet.runs["k"] == 1
+
+        run(scenario)
