--- /dev/null
+++ b/benchmarks/keys.py
@@ -0,0 +1,189 @@
+"""Keyed charges: cost of the rules, appends of the fleet, real processes.
+
+``rules`` is the processor time and memory of the replay.  ``batches``
+simulates the appends of the whole fleet by the batching policy, with a log
+that takes 5 ms for an append.  ``processes`` drives charges through real
+entries, each at once the keeper of its part; load, log and services share
+the machine with them.
+"""
+
+import random
+import time
+import tracemalloc
+import typing as t
+
+import trio
+
+from examples import demo
+from examples import processes
+from sycamorespool.decisions import key_batches
+from sycamorespool.decisions import keys
+from sycamorespool import records
+
+CHARGES = 20_000
+SIMULATED_S = 20.0
+APPEND_S = 0.005
+RATES_PER_S = (10, 100, 400, 1000)
+PARTITIONS = (4, 16, 64)
+ENTRIES = (1, 3, 9)
+LANES = 48
+WINDOW_S = 5.0
+DOCUMENT = {
+    "workspaces": {"w": {"key_hashes": [processes.CALLER_KEY_HASH]}},
+    "services": {
+        "orders": {
+            "kind": "plain",
+            "replicas": 3,
+            "cold_limit": 32,
+            "warm_limit": 64,
+        },
+    },
+}
+
+
+def _make_batch(number: int) -> records.KeyBatch:
+    key, attempt = f"key-{number:032d}", f"{number:032x}"
+    intent = records.KeyIntent("w", key, "d" * 32, attempt, "e", number)
+    outcome = records.KeyOutcome("w", key, attempt, 200, "text/plain", b"ok")
+    return records.KeyBatch(f"b{number}", (intent,), (outcome,))
+
+
+def _measure_rules() -> dict[str, float]:
+    # An outcome stands before its intent in a batch, so each is applied in
+    # the batch after.
+    batches = [_make_batch(number) for number in range(CHARGES)]
+    state = keys.PartitionState()
+    began_s = time.process_time()
+    for offset, batch in enumerate(batches):
+        keys.apply(state, 2 * offset, batch)
+        keys.apply(state, 2 * offset + 1, batch)
+    took_s = time.process_time() - began_s
+    del state
+    tracemalloc.start()
+    kept = keys.PartitionState()
+    for offset in range(CHARGES):
+        keys.apply(kept, 2 * offset, _make_batch(offset))
+        keys.apply(kept, 2 * offset + 1, _make_batch(offset))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "replay_us_per_charge": took_s / CHARGES * 1e6,
+        "bytes_per_key": size / CHARGES,
+    }
+
+
+def _simulate(rate_per_s: float, partitions: int) -> dict[str, float]:
+    """Run one partition by events and scale its appends to the fleet."""
+    chance = random.Random(7)
+    policy = key_batches.BatchPolicy(partitions)
+    batcher = key_batches.make_batcher(policy, 0.0)
+    local_per_s = 2.0 * rate_per_s / partitions
+    arrives_s = chance.expovariate(local_per_s)
+    arrivals: dict[str, float] = {}
+    waits: list[float] = []
+    now_s = 0.0
+    appends = 0
+    while now_s < SIMULATED_S:
+        due_s = key_batches.find_append_time(policy, batcher, now_s)
+        if due_s is None or arrives_s < due_s:
+            now_s = arrives_s
+            name = f"a{len(arrivals)}"
+            arrivals[name] = now_s
+            item = records.KeyIntent("w", name, "", name, "e", 0.0)
+            key_batches.add(policy, batcher, item)
+            arrives_s += chance.expovariate(local_per_s)
+            continue
+        now_s = due_s
+        batch = key_batches.take(policy, batcher, "b", now_s)
+        appends += 1
+        now_s += APPEND_S
+        key_batches.finish(batcher)
+        waits += [now_s - arrivals[i.attempt_id] for i in batch.intents]
+    waits.sort()
+    return {
+        "fleet_appends_per_s": appends / SIMULATED_S * partitions,
+        "append_p50_ms": 1e3 * waits[len(waits) // 2],
+        "append_p95_ms": 1e3 * waits[int(0.95 * len(waits))],
+    }
+
+
+async def _count_appends(deployment: processes.Deployment) -> int:
+    address = deployment.processes["platform"].address
+    return int((await deployment.get(f"{address}/counts"))["appends"])
+
+
+async def _start(deployment: processes.Deployment, count: int) -> list[str]:
+    for number in range(3):
+        await deployment.start_service(f"s{number}", "orders", "d1", "f1")
+    names = [f"entry-{number}" for number in range(count)]
+    for name in names:
+        entry = await deployment.start_entry(name, "d1")
+        await deployment.wait_for(
+            lambda entry=entry: demo.is_ready(deployment, entry.address)
+        )
+    await demo.patch(deployment, names[0], DOCUMENT)
+    tally = demo.Tally()
+
+    async def serves() -> bool:
+        for number in range(40):
+            for name in names:
+                key = f"{name}-{number}-{trio.current_time()}"
+                await demo.charge(deployment, tally, name, key)
+        tally.refused.clear()
+        for name in names:
+            key = f"{name}-{trio.current_time()}"
+            await demo.charge(deployment, tally, name, key)
+        return not tally.refused
+
+    await deployment.wait_for(serves, 60.0)
+    return names
+
+
+async def _measure(count: int) -> dict[str, float]:
+    """Keep charges in flight through ``count`` entries for a while."""
+    async with processes.Deployment() as deployment:
+        names = await _start(deployment, count)
+        tally = demo.Tally()
+        waits: list[float] = []
+
+        async def keep_charging(lane: int) -> None:
+            number = 0
+            while True:
+                number += 1
+                entry = names[(lane + number) % len(names)]
+                began_s = trio.current_time()
+                key = f"{lane}-{number}"
+                await demo.charge(deployment, tally, entry, key)
+                waits.append(trio.current_time() - began_s)
+
+        before = await _count_appends(deployment)
+        with trio.move_on_after(WINDOW_S):
+            async with trio.open_nursery() as nursery:
+                for lane in range(LANES):
+                    nursery.start_soon(keep_charging, lane)
+        after = await _count_appends(deployment)
+        waits.sort()
+        return {
+            "charges_per_s": sum(tally.charges.values()) / WINDOW_S,
+            "refused": sum(tally.refused.values()),
+            "appends_per_s": (after - before) / WINDOW_S,
+            "p50_ms": 1e3 * waits[len(waits) // 2],
+            "p95_ms": 1e3 * waits[int(0.95 * len(waits))],
+        }
+
+
+def run() -> dict[str, t.Any]:
+    """Measure the rules, the batches and real processes."""
+    return {
+        "rules": _measure_rules(),
+        "batches": {
+            f"{rate}/s": {
+                f"{partitions} partitions": _simulate(rate, partitions)
+                for partitions in PARTITIONS
+            }
+            for rate in RATES_PER_S
+        },
+        "processes": {
+            f"{count} entries": trio.run(_measure, count) for count in ENTRIES
+        },
+    }
