--- a/src/sycamorespool/decisions/key_snapshots.py
+++ b/src/sycamorespool/decisions/key_snapshots.py
@@ -10,7 +10,6 @@
 as of, not where it stands.
 """
 
-import dataclasses
 import typing as t
 
 import msgspec
@@ -137,8 +136,3 @@
     """Drop ended keys and return the snapshot record to append."""
     keys.prune(state, window_s)
     return records.Snapshot(record_id, state.offset, dump(state))
-
-
-def copy(state: keys.PartitionState) -> keys.PartitionState:
-    """Return a copy that further records do not change."""
-    return dataclasses.replace(state, keys=dict(state.keys))
--- a/src/sycamorespool/decisions/shares.py
+++ b/src/sycamorespool/decisions/shares.py
@@ -175,13 +175,6 @@
     return len(workspace.classes[ticket.priority].tickets)
 
 
-def charge(queue: FairQueue, workspace: str, extra: float) -> None:
-    """Correct the cost of a request once it is known."""
-    flow = queue.workspaces.get(workspace)
-    if flow is not None:
-        flow.tag = max(0.0, flow.tag + extra / flow.weight)
-
-
 def estimate_wait_s(
     ahead: float, rate_per_s: float, ramp_per_s2: float = 0.0
 ) -> float:
--- /dev/null
+++ b/tests/test_usage_exchange.py
@@ -0,0 +1,77 @@
+"""Tests of the exchange of usage between entries."""
+
+import pytest
+import trio
+import trio.testing
+
+from sycamorespool import admission
+from sycamorespool import configuration
+from sycamorespool.entries import messages
+from sycamorespool import environment
+from sycamorespool import models
+from sycamorespool import settings
+from sycamorespool import usage_exchange
+from tests import key_fleet
+
+WEIGHTS = {"a": 2.0, "b": 1.0}
+
+
+def make_env():
+    env = environment.make_environment(
+        settings.parse(key_fleet.TEXT.format(name="entry-1"))
+    )
+    env.fleet.config = configuration.Configuration(
+        services={"s": configuration.Service()},
+        workspaces={
+            name: configuration.Workspace(weight=weight)
+            for name, weight in WEIGHTS.items()
+        },
+    )
+    grant = models.Grant("g", "s", 1, 10, 1e9, "x", "dc")
+    env.held.put(models.GrantAnswer("u", 1, (grant,)), 0.0)
+    return env
+
+
+def make_told(entry, demand):
+    return messages.UsageTold(entry, {"s": {"b": demand}}, {"s": 10.0})
+
+
+async def queue_requests(env, nursery, count):
+    async def request():
+        wish = admission.Wish("r", "a", "normal", "s", 1e6)
+        async with env.admission.place(env.held, wish):
+            await trio.sleep_forever()
+
+    for _ in range(count):
+        nursery.start_soon(request)
+    await trio.testing.wait_all_tasks_blocked()
+
+
+class TestExchange:
+    @pytest.mark.parametrize(
+        ("others", "age_s", "claim"),
+        [
+            ({}, 0.0, None),
+            ({"e2": 50.0, "e3": 50.0}, 0.0, 20),
+            ({"e2": 50.0, "e3": 50.0}, 60.0, None),
+            ({"e2": 1.0, "e3": 1.0}, 0.0, 28),
+            ({"e2": 0.0, "e3": 0.0}, 0.0, 30),
+        ],
+    )
+    def test_claim_follows_the_fleet(self, others, age_s, claim):
+        async def main():
+            env = make_env()
+            exchange = usage_exchange.UsageExchange(env)
+            (take,) = usage_exchange.make_handlers(exchange).values()
+            for name, demand in others.items():
+                await take(make_told(name, demand))
+            async with trio.open_nursery() as nursery:
+                await queue_requests(env, nursery, 40)
+                now_s = trio.current_time() + age_s
+                usage_exchange.correct(exchange, now_s)
+                assert env.held.claims.get("s") == claim
+                nursery.cancel_scope.cancel()
+            env.transport.close()
+
+        clock = trio.testing.MockClock()
+        trio.run(main, clock=clock)
