Ask for a little more than the claim, but not always

Claims add up to the places that were granted, so a fleet that asked for nothing else could never use places that came later. The benchmark now divides as the owner does.

--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -10,6 +10,7 @@
 import random
 import typing as t
 
+from sycamorespool.decisions import grants
 from sycamorespool.decisions import shares
 
 ENTRIES = 9
@@ -17,6 +18,7 @@
 STEPS = 200
 SETTLED = 50
 REPORT_STEPS = 10
+GROWTH_ROUNDS = 5
 WEIGHTS = {"a": 2.0, "b": 1.0, "c": 1.0}
 PRIORITIES = {"high": 4.0, "normal": 2.0, "low": 1.0}
 # Requests a step that arrive at each entry, by workspace.
@@ -36,7 +38,7 @@
 class _Entry:
     def __init__(self) -> None:
         self.queue = shares.FairQueue(400)
-        self.places = PLACES / ENTRIES
+        self.places: float = PLACES / ENTRIES
         self.saved = 0.0
         self.local: dict[str, float] = {}
         self.demands: dict[str, float] = {}
@@ -68,15 +70,35 @@
         return served
 
 
-def _exchange(entries: list[_Entry], has_claims: bool) -> None:
+def _grant(entries: list[_Entry], claims: list[float], exchanges: int) -> None:
+    """Divide places as the owner of a domain does."""
+    places = PLACES
+    wanted = {
+        str(number): shares.count_asked(
+            claim, (exchanges + number) % GROWTH_ROUNDS == 0
+        )
+        for number, claim in enumerate(claims)
+    }
+    level, rest = grants.fill_evenly(wanted, places)
+    for number, entry in enumerate(entries):
+        want = wanted[str(number)]
+        entry.places = min(want, level)
+        if want > level and rest:
+            entry.places += 1
+            rest -= 1
+
+
+def _exchange(entries: list[_Entry], has_claims: bool, exchanges: int) -> None:
+    claims = []
     usages = [shares.Usage(e.demands, e.places) for e in entries]
     for number, entry in enumerate(entries):
         others = usages[:number] + usages[number + 1 :]
         entry.local, claim = shares.correct_weights(
             usages[number], others, WEIGHTS
         )
-        if has_claims:
-            entry.places = claim
+        claims.append(claim)
+    if has_claims:
+        _grant(entries, claims, exchanges)
 
 
 def _measure(spread: dict[str, list[int]], method: str) -> dict[str, float]:
@@ -87,7 +109,8 @@
             counts = {name: row[index] for name, row in spread.items()}
             entry.arrive(counts, step)
         if step % REPORT_STEPS == 1 and method != "queues_alone":
-            _exchange(entries, method == "weights_and_claims")
+            exchanges = step // REPORT_STEPS
+            _exchange(entries, method == "weights_and_claims", exchanges)
         for entry in entries:
             done = entry.serve()
             if step >= SETTLED:
@@ -104,6 +127,21 @@
     }
 
 
+def _measure_ramp(spread: dict[str, list[int]]) -> dict[str, float]:
+    """Return how long grants take to follow a capacity that grew tenfold."""
+    entries = [_Entry() for _ in range(ENTRIES)]
+    for entry in entries:
+        entry.places = 1.0
+    for exchanges in range(1, 200):
+        for index, entry in enumerate(entries):
+            counts = {name: row[index] for name, row in spread.items()}
+            entry.arrive(counts, exchanges)
+        _exchange(entries, True, exchanges)
+        if sum(entry.places for entry in entries) >= PLACES:
+            return {"exchanges_until_all_granted": exchanges}
+    return {"exchanges_until_all_granted": float("inf")}
+
+
 def _measure_drafts(is_fair: bool) -> dict[str, float]:
     """Return the wait of restock drafts while others flood, in steps."""
     chance = random.Random(1)
@@ -138,6 +176,9 @@
         spread: {method: _measure(row, method) for method in METHODS}
         for spread, row in SPREADS.items()
     }
+    results["ramp"] = {
+        spread: _measure_ramp(row) for spread, row in SPREADS.items()
+    }
     results["restock_drafts"] = {
         "one_queue": _measure_drafts(False),
         "fair_queue": _measure_drafts(True),
--- a/src/sycamorespool/decisions/shares.py
+++ b/src/sycamorespool/decisions/shares.py
@@ -19,6 +19,8 @@
 
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 60.0
+CLAIM_GROWTH = 1.1
+CLAIM_SLACK = 1e-6
 RANKS = {name: n for n, name in enumerate(configuration.PRIORITIES)}
 
 
@@ -277,6 +279,18 @@
     return local, sum(local.values())
 
 
+def count_asked(claim: float, is_growing: bool) -> int:
+    """Return the places to ask for, given a claim.
+
+    Claims add up to the places that the fleet has, so an entry now and
+    then asks for a tenth more: that finds places which nobody uses.  More
+    often it would distort the shares, since an owner that cannot give all
+    that is asked cuts the largest asks.
+    """
+    factor = CLAIM_GROWTH if is_growing else 1.0
+    return max(1, math.ceil(claim * factor - CLAIM_SLACK))
+
+
 def report_period_s(
     entries: int, report_bytes: int, budget_bytes_per_s: float
 ) -> float:
--- a/src/sycamorespool/usage_exchange.py
+++ b/src/sycamorespool/usage_exchange.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import math
 import typing as t
 
 import trio
@@ -21,16 +20,24 @@
 CALL_TIMEOUT_S = 0.5
 PERIODS_KEPT = 3
 MAX_CALLS = 16
+GROWTH_ROUNDS = 5
 
 
 @dataclasses.dataclass(slots=True)
 class UsageExchange:
-    """What the other entries told, with the time of its receipt."""
+    """What the other entries told, with the time of its receipt.
+
+    Parameters
+    ----------
+    rounds : int
+        Corrections made; each entry counts from its own start.
+    """
 
     env: environment.Environment
     told: dict[str, tuple[messages.UsageTold, float]] = dataclasses.field(
         default_factory=dict
     )
+    rounds: int = 0
 
     @property
     def period_s(self) -> float:
@@ -70,6 +77,8 @@
     """Set the weights and claims of this entry by what all told."""
     env = exchange.env
     own = make_report(env)
+    exchange.rounds += 1
+    is_warming = bool(env.held.list_cold())
     others = exchange.list_others(now_s)
     weights = {
         name: workspace.weight
@@ -83,7 +92,9 @@
         wanted = sum(sum(u.demands.values()) for u in (mine, *usages))
         places = sum(u.places for u in (mine, *usages))
         if others and wanted > places > 0:
-            env.held.claims[service] = max(1, math.ceil(claim))
+            is_growing = exchange.rounds % GROWTH_ROUNDS == 0
+            asked = shares.count_asked(claim, is_growing or is_warming)
+            env.held.claims[service] = asked
         else:
             env.held.claims.pop(service, None)
 
--- a/tests/test_usage_exchange.py
+++ b/tests/test_usage_exchange.py
@@ -16,7 +16,7 @@
 WEIGHTS = {"a": 2.0, "b": 1.0}
 
 
-def make_env():
+def make_env(is_warm):
     env = environment.make_environment(
         settings.parse(key_fleet.TEXT.format(name="entry-1"))
     )
@@ -27,7 +27,7 @@
             for name, weight in WEIGHTS.items()
         },
     )
-    grant = models.Grant("g", "s", 1, 10, 1e9, "x", "dc")
+    grant = models.Grant("g", "s", 1, 10, 1e9, "x", "dc", warm=is_warm)
     env.held.put(models.GrantAnswer("u", 1, (grant,)), 0.0)
     return env
 
@@ -49,18 +49,19 @@
 
 class TestExchange:
     @pytest.mark.parametrize(
-        ("others", "age_s", "claim"),
+        ("others", "age_s", "claim", "is_warm"),
         [
-            ({}, 0.0, None),
-            ({"e2": 50.0, "e3": 50.0}, 0.0, 20),
-            ({"e2": 50.0, "e3": 50.0}, 60.0, None),
-            ({"e2": 1.0, "e3": 1.0}, 0.0, 28),
-            ({"e2": 0.0, "e3": 0.0}, 0.0, 30),
+            ({}, 0.0, None, True),
+            ({"e2": 50.0, "e3": 50.0}, 0.0, 20, True),
+            ({"e2": 50.0, "e3": 50.0}, 0.0, 22, False),
+            ({"e2": 50.0, "e3": 50.0}, 60.0, None, True),
+            ({"e2": 1.0, "e3": 1.0}, 0.0, 28, True),
+            ({"e2": 0.0, "e3": 0.0}, 0.0, 30, True),
         ],
     )
-    def test_claim_follows_the_fleet(self, others, age_s, claim):
+    def test_claim_follows_the_fleet(self, others, age_s, claim, is_warm):
         async def main():
-            env = make_env()
+            env = make_env(is_warm)
             exchange = usage_exchange.UsageExchange(env)
             (take,) = usage_exchange.make_handlers(exchange).values()
             for name, demand in others.items():
