--- a/src/sycamorespool/backend_servers/control.py
+++ b/src/sycamorespool/backend_servers/control.py
@@ -2,12 +2,14 @@
 
 import httpcore
 import msgspec
+import trio
 
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import models
 
-ORDER_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 0.8
+UNACKED_TIMEOUT_S = 0.7
 
 
 def _decode_report(answer: http_client.Answer) -> models.ProbeReport:
@@ -21,6 +23,15 @@
         raise exceptions.BackendCut(str(error)) from error
 
 
+def make_order_pool() -> httpcore.AsyncConnectionPool:
+    """Make the pool for orders.
+
+    An order lands within the sum of the two timeouts or never, which
+    bounds how long a new owner waits for those of the former one.
+    """
+    return http_client.make_pool(unacked_timeout_s=UNACKED_TIMEOUT_S)
+
+
 async def send_order(
     pool: httpcore.AsyncConnectionPool, address: str, order: models.Order
 ) -> models.ProbeReport:
@@ -38,9 +49,10 @@
     url = f"http://{address}/orders"
     body = msgspec.json.encode(order)
     try:
-        answer = await http_client.exchange(
-            pool, "POST", url, body, ORDER_TIMEOUT_S
-        )
+        with trio.fail_after(ORDER_TIMEOUT_S):
+            answer = await http_client.exchange(pool, "POST", url, body)
+    except trio.TooSlowError as error:
+        raise exceptions.BackendCut("order not answered in time") from error
     except http_client.NotReached as error:
         raise exceptions.BackendNotReached(str(error)) from error
     except http_client.ExchangeFailed as error:
--- /dev/null
+++ b/src/sycamorespool/claims.py
@@ -0,0 +1,98 @@
+"""The loop that claims units and hands them over."""
+
+from collections import abc
+import typing as t
+
+import trio
+
+from sycamorespool.decisions import claimants
+from sycamorespool.decisions import isolation
+from sycamorespool.decisions import ownership
+from sycamorespool import environment
+from sycamorespool import exceptions
+from sycamorespool import leases
+from sycamorespool import logs
+from sycamorespool import records
+
+CLAIM_PERIOD_S = 0.25
+RELEASE_TIMEOUT_S = 3.0
+
+Candidates: t.TypeAlias = abc.Mapping[str, claimants.Candidate]
+
+log = logs.make_logger("ownership")
+
+
+def list_listed(env: environment.Environment) -> Candidates:
+    """Return the entries of the platform's list as candidates.
+
+    Their incarnations are taken from the log, as the list has none.
+    """
+    incarnations = {
+        owner.entry: owner.incarnation for owner in env.fleet.owners.values()
+    }
+    found = {
+        name: claimants.Candidate(incarnations.get(name, 0), vm.data_centre)
+        for name, vm in env.entries().items()
+    }
+    found[env.name] = claimants.Candidate(
+        env.incarnation, env.settings.entry.data_centre
+    )
+    return found
+
+
+def _list_units(env: environment.Environment) -> dict[str, str]:
+    return {
+        ownership.name_domain_unit(vm.domain): vm.data_centre
+        for vm in env.vms.values()
+        if vm.role != "entry"
+    }
+
+
+def _list_due(
+    env: environment.Environment, candidates: Candidates
+) -> list[records.Record]:
+    now_s = leases.check(env)
+    scene = claimants.Scene(env.fleet, _list_units(env), candidates)
+    due: list[records.Record] = list(
+        claimants.releases_due(env.lease, scene, now_s, env.is_stopping)
+    )
+    may_claim = isolation.ALLOWANCES[env.mode].may_claim
+    if may_claim and not env.is_stopping:
+        due += claimants.claims_due(env.lease, scene, now_s)
+    return due
+
+
+async def run(
+    env: environment.Environment,
+    list_candidates: abc.Callable[[], Candidates],
+) -> None:
+    """Claim and release what is due, for ever.
+
+    An append whose answer is lost needs no look-up: what the log shows is
+    followed, and what it doesn't show is repeated under the same id.
+    """
+    while True:
+        await trio.sleep(CLAIM_PERIOD_S)
+        due = _list_due(env, list_candidates())
+        if not due:
+            continue
+        for record in due:
+            log.info("appending", record_id=record.record_id)
+        try:
+            await env.log.append(records.FLEET_STREAM, due)
+        except exceptions.PlatformError as error:
+            log.warning("append failed", count=len(due), error=error)
+            env.metrics.count("log_appends_failed")
+
+
+async def wait_until_released(env: environment.Environment) -> None:
+    """Wait until the log shows that this stopping entry owns nothing.
+
+    Units whose wait is not over are left for their successor to wait for.
+    """
+    with trio.move_on_after(RELEASE_TIMEOUT_S):
+        while any(
+            tenure.is_releasing or trio.current_time() >= tenure.acts_from_s
+            for tenure in env.lease.tenures.values()
+        ):
+            await env.fleet_changed.wait()
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -1,5 +1,6 @@
 """The only daemon: an entry, wired from its parts."""
 
+import functools
 import signal
 
 from absl import logging
@@ -7,6 +8,7 @@
 
 from sycamorespool import asgi
 from sycamorespool.callers import app as callers_app
+from sycamorespool import claims
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import fleet
@@ -55,6 +57,7 @@
     # The balancer polls readiness: requests that it sends before it notices
     # still get an answer.
     await trio.sleep(READINESS_NOTICE_S)
+    await claims.wait_until_released(env)
     with trio.move_on_after(env.settings.limits.drain_timeout_s):
         await env.wait_until_idle()
     stop.set()
@@ -73,7 +76,10 @@
         nursery.start_soon(_stop_on_signal, env, stop)
         nursery.start_soon(fleet.follow_log, env)
         nursery.start_soon(fleet.follow_membership, env)
-        nursery.start_soon(fleet.claim_units, env)
+        nursery.start_soon(fleet.write_snapshots, env)
+        nursery.start_soon(
+            claims.run, env, functools.partial(claims.list_listed, env)
+        )
         nursery.start_soon(owner.run, own)
         nursery.start_soon(grant_user.ask_for_grants, env, granter)
         nursery.start_soon(
--- a/src/sycamorespool/decisions/ownership.py
+++ b/src/sycamorespool/decisions/ownership.py
@@ -51,7 +51,7 @@
 
     lease_s: float = 3.0
     drift_ratio: float = 0.01
-    flight_s: float = 1.0
+    flight_s: float = 1.5
     read_lag_s: float = 0.0
     settle_s: float = 3.0
     rebalance_s: float = 5.0
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -1,5 +1,6 @@
 """The central object of an entry, from which all else hangs."""
 
+import collections
 import dataclasses
 import time
 import uuid
@@ -7,7 +8,10 @@
 import httpcore
 import trio
 
+from sycamorespool.backend_servers import control
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import isolation
+from sycamorespool.decisions import ownership
 from sycamorespool.decisions import replay
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
@@ -15,9 +19,13 @@
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
+from sycamorespool import records
 from sycamorespool import settings
 
 
+RECENT_RECORDS = 1024
+
+
 @dataclasses.dataclass(slots=True)
 class Environment:
     """What every part of an entry shares.
@@ -32,6 +40,12 @@
         The state replayed from the fleet stream.
     log_read_s : float
         Start of the last read that reached the head of the log.
+    lease : ownership.LeaseState
+        The units that this process owns and its lease.
+    mode : isolation.Mode
+        How this entry stands to the log and to its peers.
+    recent : collections.deque
+        The newest records of the fleet stream, for peers without the log.
     vms : dict
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
@@ -49,6 +63,14 @@
     pool: httpcore.AsyncConnectionPool
     log: log.LogClient
     transport: transport.Transport
+    lease: ownership.LeaseState
+    order_pool: httpcore.AsyncConnectionPool = dataclasses.field(
+        default_factory=control.make_order_pool
+    )
+    mode: isolation.Mode = isolation.Mode.NORMAL
+    recent: collections.deque[records.LogEntry] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=RECENT_RECORDS)
+    )
     fleet: replay.FleetState = dataclasses.field(
         default_factory=replay.FleetState
     )
@@ -115,12 +137,15 @@
 def make_environment(chosen: settings.Settings) -> Environment:
     """Make the environment of a process that starts now."""
     pool = http_client.make_pool()
+    incarnation = int(time.time() * 1000)
+    timing = ownership.Timing(read_lag_s=chosen.platform.log_read_lag_s)
     return Environment(
         chosen,
-        int(time.time() * 1000),
+        incarnation,
         pool,
         log.LogClient(pool, chosen.platform.address),
         transport.Transport(),
+        ownership.LeaseState(chosen.entry.name, incarnation, timing),
     )
 
 
--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -1,6 +1,7 @@
 """Whole HTTP exchanges over a connection pool, for every layer."""
 
 import dataclasses
+import socket
 
 import httpcore
 import msgspec
@@ -35,13 +36,27 @@
     body: bytes
 
 
-def make_pool(max_connections: int = 256) -> httpcore.AsyncConnectionPool:
-    """Make a pool of plain HTTP/1.1 connections without retries."""
+def make_pool(
+    max_connections: int = 256, unacked_timeout_s: float | None = None
+) -> httpcore.AsyncConnectionPool:
+    """Make a pool of plain HTTP/1.1 connections without retries.
+
+    Parameters
+    ----------
+    unacked_timeout_s : float, optional
+        After this time the kernel gives up on bytes that the other side
+        has not acknowledged, also on those of a closed connection.
+    """
+    options = []
+    if unacked_timeout_s is not None:
+        timeout_ms = round(unacked_timeout_s * 1000)
+        options = [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)]
     return httpcore.AsyncConnectionPool(
         max_connections=max_connections,
         max_keepalive_connections=max_connections,
         keepalive_expiry=30,
         retries=0,
+        socket_options=options,
     )
 
 
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -31,6 +31,12 @@
 _CLASS = ("workspace", "priority")
 
 METRICS: dict[str, Metric] = {
+    "clock_gaps": Metric(
+        "counter",
+        "gaps",
+        (),
+        "Gaps between the clocks that made this entry drop its lease.",
+    ),
     "requests_served": Metric(
         "counter", "requests", _CLASS, "Whole answers given to callers."
     ),
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -9,6 +9,7 @@
 from sycamorespool.backend_servers import probes
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import leases
 from sycamorespool import models
 from sycamorespool import records
 
@@ -69,7 +70,7 @@
         await trio.sleep(PLAN_PERIOD_S)
         for domain in env.domains():
             unit = f"domain/{domain}"
-            if owner.owns(unit) and not env.is_stopping:
+            if leases.may_act(env, unit) and not env.is_stopping:
                 await _plan(owner, domain, unit)
 
 
@@ -88,7 +89,7 @@
         for vm in env.backends(domain).values():
             nursery.start_soon(_probe, owner, vm)
     batch = _dissolve_broken(owner, unit) or _form_groups(owner, domain, unit)
-    if batch:
+    if batch and leases.may_act(env, unit):
         try:
             await env.log.append(records.FLEET_STREAM, batch)
         except exceptions.PlatformError as error:
@@ -165,8 +166,10 @@
         group.members,
         f"{service.model}@{service.version}#{rank}",
     )
+    if not leases.may_order(env, group.unit, service.fencing):
+        return
     try:
-        await control.send_order(env.pool, env.vms[vm].address, order)
+        await control.send_order(env.order_pool, env.vms[vm].address, order)
     except exceptions.BackendError as error:
         logging.warning("groups: order failed vm=%s error=%s", vm, error)
         env.metrics.count("orders_failed")
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -46,6 +46,12 @@
         ge=0.0, le=MAX_SECONDS, description="a number of seconds, as 2.5"
     ),
 ]
+Retention: t.TypeAlias = t.Annotated[
+    float,
+    msgspec.Meta(
+        ge=3600.0, description="a number of seconds from 3600, as 604800"
+    ),
+]
 Bytes: t.TypeAlias = t.Annotated[
     int,
     msgspec.Meta(gt=0, description="a whole number of bytes, as 1048576"),
@@ -77,10 +83,13 @@
         ``IP:port`` of the log, the membership list and the store.
     log_read_lag_s : float
         Bound on the lag of reads behind acknowledged appends.
+    log_retention_s : float
+        How long the log keeps a record, at least.
     """
 
     address: Address
     log_read_lag_s: Seconds = 0.0
+    log_retention_s: Retention = 604800.0
 
 
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
