--- a/src/sycamorespool/claims.py
+++ b/src/sycamorespool/claims.py
@@ -7,7 +7,9 @@
 
 from sycamorespool.decisions import claimants
 from sycamorespool.decisions import isolation
+from sycamorespool.decisions import membership
 from sycamorespool.decisions import ownership
+from sycamorespool.decisions import pings
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import leases
@@ -16,27 +18,52 @@
 
 CLAIM_PERIOD_S = 0.25
 RELEASE_TIMEOUT_S = 3.0
+VIEW_AGE_S = 10.0
 
 Candidates: t.TypeAlias = abc.Mapping[str, claimants.Candidate]
 
 log = logs.make_logger("ownership")
 
 
-def list_listed(env: environment.Environment) -> Candidates:
-    """Return the entries of the platform's list as candidates.
+def _is_cut_off(
+    env: environment.Environment, member: membership.Member, now_s: float
+) -> bool:
+    # What peers said before this entry's lease began may be of an outage
+    # that is over.
+    is_new = member.log_s > env.lease.lease_since_s
+    is_unreadable = member.log is not None and not member.log.is_readable
+    return is_unreadable and is_new and now_s - member.log_s < VIEW_AGE_S
 
-    Their incarnations are taken from the log, as the list has none.
+
+def list_live(
+    env: environment.Environment, state: membership.Membership
+) -> Candidates:
+    """Return the entries that may own units.
+
+    One that was not heard yet is presumed to be the process that the log
+    names; it is left out once it is declared dead.
     """
+    now_s = trio.current_time()
     incarnations = {
         owner.entry: owner.incarnation for owner in env.fleet.owners.values()
     }
     found = {
-        name: claimants.Candidate(incarnations.get(name, 0), vm.data_centre)
-        for name, vm in env.entries().items()
+        env.name: claimants.Candidate(
+            env.incarnation, env.settings.entry.data_centre
+        )
     }
-    found[env.name] = claimants.Candidate(
-        env.incarnation, env.settings.entry.data_centre
-    )
+    live = membership.names_of(state, pings.Status.ALIVE, pings.Status.SUSPECT)
+    for name in env.entries().keys() & set(live):
+        member = state.members[name]
+        if _is_cut_off(env, member, now_s):
+            continue
+        update = member.update
+        is_heard = update.incarnation != membership.UNHEARD
+        found[name] = claimants.Candidate(
+            update.incarnation if is_heard else incarnations.get(name, 0),
+            update.data_centre,
+            member.since_s,
+        )
     return found
 
 
--- a/src/sycamorespool/decisions/claimants.py
+++ b/src/sycamorespool/decisions/claimants.py
@@ -88,6 +88,15 @@
     return near or list(scene.candidates)
 
 
+def _find_eligible(scene: Scene, unit: str) -> list[str]:
+    # An entry that has released a unit hands it over, or is about to leave.
+    near = _find_near(scene, unit)
+    owner = scene.replayed.owners.get(unit)
+    if owner is None or not owner.is_released:
+        return near
+    return [name for name in near if name != owner.entry] or near
+
+
 def _choose(
     unit: str, names: abc.Iterable[str], counts: collections.Counter[str]
 ) -> str:
@@ -106,7 +115,7 @@
     for unit in sorted(scene.units):
         if _is_held(scene, unit):
             continue
-        name = _choose(unit, _find_near(scene, unit), counts)
+        name = _choose(unit, _find_eligible(scene, unit), counts)
         chosen[unit] = name
         counts[name] += 1
     return chosen
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -10,9 +10,11 @@
 
 from sycamorespool.backend_servers import control
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import isolation
 from sycamorespool.decisions import ownership
 from sycamorespool.decisions import replay
+from sycamorespool.entries import frames
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
@@ -137,6 +139,7 @@
 def make_environment(chosen: settings.Settings) -> Environment:
     """Make the environment of a process that starts now."""
     pool = http_client.make_pool()
+    name = chosen.entry.name
     incarnation = int(time.time() * 1000)
     timing = ownership.Timing(read_lag_s=chosen.platform.log_read_lag_s)
     return Environment(
@@ -144,8 +147,11 @@
         incarnation,
         pool,
         log.LogClient(pool, chosen.platform.address),
-        transport.Transport(),
-        ownership.LeaseState(chosen.entry.name, incarnation, timing),
+        transport.Transport(
+            frames.Codec(chosen.peers.shared_key.encode(), name, incarnation)
+        ),
+        ownership.LeaseState(name, incarnation, timing),
+        held=grants_held.GrantsHeld(grant_book.GrantBook(name, incarnation)),
     )
 
 
