Follow the log through peers and stop an isolated entry

An entry that lost the log alone kept its old configuration and served on. A new entry starts from a peer's state while the log is down. Nothing is asked while the log is read.

--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -19,6 +19,7 @@
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
+from sycamorespool import peer_log
 from sycamorespool import peer_watch
 from sycamorespool import settings
 
@@ -26,7 +27,9 @@
 
 
 def _make_peer_handlers(
-    watch: peer_watch.PeerWatch, user: grant_user.GrantUser
+    watch: peer_watch.PeerWatch,
+    user: grant_user.GrantUser,
+    followed: peer_log.PeerLog,
 ) -> transport.Handlers:
     """Return the handler of each message that other entries send."""
 
@@ -36,6 +39,7 @@
     return {
         messages.GrantsWanted: give_grants,
         **peer_watch.make_handlers(watch),
+        **peer_log.make_handlers(followed),
     }
 
 
@@ -67,6 +71,7 @@
     watch = peer_watch.make_watch(env)
     granter = grantor.Grantor(own, watch)
     user = grant_user.GrantUser(env, granter, watch)
+    followed = peer_log.PeerLog(env, watch.state)
     stop = trio.Event()
     listen = chosen.listen
     statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
@@ -83,6 +88,7 @@
         )
         nursery.start_soon(owner.run, own)
         nursery.start_soon(peer_watch.run, watch)
+        nursery.start_soon(peer_log.run, followed)
         nursery.start_soon(grantor.run, granter)
         nursery.start_soon(grant_user.ask_for_grants, user)
         nursery.start_soon(
@@ -92,7 +98,7 @@
             transport.serve,
             listen.peers,
             env.transport.codec,
-            _make_peer_handlers(watch, user),
+            _make_peer_handlers(watch, user, followed),
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -7,6 +7,7 @@
 import trio
 
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import isolation
 from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
@@ -63,6 +64,12 @@
     try:
         while True:
             now_s = trio.current_time()
+            if not isolation.ALLOWANCES[env.mode].takes_work:
+                raise exceptions.NotRun(
+                    "isolated",
+                    "the entry is cut off and takes no work",
+                    retry_after_s=RETRY_AFTER_S,
+                )
             grant = env.held.find(call.service, now_s, excluded, call.prefix)
             if grant is not None:
                 env.metrics.observe(
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -38,6 +38,54 @@
     group_ids: tuple[str, ...]
 
 
+class RecordsWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="records_wanted"
+):
+    """Ask for the records of the fleet stream after an offset."""
+
+    after: int
+
+
+class RecordsGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="records_given"
+):
+    """Records of the fleet stream, each encoded.
+
+    Parameters
+    ----------
+    newest : int
+        Offset of the last record that the sender has applied.
+    unread_s : float
+        Time since its last read began that reached the head of the log.
+    is_too_old : bool
+        Whether it no longer keeps the first of the records wanted.
+    """
+
+    newest: int
+    unread_s: float
+    is_too_old: bool = False
+    entries: tuple[bytes, ...] = ()
+
+
+class SnapshotWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="snapshot_wanted"
+):
+    """Ask for a part of the whole state; part 0 sets ``as_of``."""
+
+    as_of: int
+    part: int
+
+
+class SnapshotGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="snapshot_given"
+):
+    """One of ``count`` parts of the state as of an offset."""
+
+    as_of: int
+    count: int
+    data: bytes
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """The message was taken in."""
 
@@ -55,6 +103,10 @@
     | GrantsWanted
     | GrantsGiven
     | GrantsWithdrawn
+    | RecordsWanted
+    | RecordsGiven
+    | SnapshotWanted
+    | SnapshotGiven
     | Done
     | Refused
 )
--- a/src/sycamorespool/fleet.py
+++ b/src/sycamorespool/fleet.py
@@ -1,9 +1,12 @@
 """Loops that keep an entry's view of the fleet: log and membership."""
 
+import math
 import time
 
+import msgspec
 import trio
 
+from sycamorespool.decisions import isolation
 from sycamorespool.decisions import replay
 from sycamorespool.decisions import snapshots
 from sycamorespool import environment
@@ -21,6 +24,36 @@
 log = logs.make_logger("log")
 
 
+def set_mode(env: environment.Environment, mode: isolation.Mode) -> None:
+    """Set how this entry stands to the log, and whether it takes work.
+
+    An entry takes none before it has a state.
+    """
+    if mode is not env.mode:
+        log.warning("mode changed", state=mode, offset=env.fleet.offset)
+    env.mode = mode
+    takes_work = isolation.ALLOWANCES[mode].takes_work
+    has_state = env.fleet.offset >= 0 or math.isfinite(env.log_read_s)
+    env.is_ready = takes_work and has_state and not env.is_stopping
+
+
+def replace_state(
+    env: environment.Environment, state: replay.FleetState
+) -> None:
+    """Go on from another state, which is newer than the own one."""
+    env.fleet = state
+    env.recent.clear()
+    env.announce_change()
+
+
+def _lighten(entry: records.LogEntry) -> records.LogEntry:
+    # For a peer that follows, a snapshot is no more than its mark.
+    if not isinstance(entry.record, records.Snapshot):
+        return entry
+    record = msgspec.structs.replace(entry.record, state={})
+    return records.LogEntry(entry.offset, record)
+
+
 def take_entries(
     env: environment.Environment, entries: tuple[records.LogEntry, ...]
 ) -> None:
@@ -28,7 +61,7 @@
     new = [entry for entry in entries if entry.offset > env.fleet.offset]
     for entry in new:
         replay.apply(env.fleet, entry.offset, entry.record)
-    env.recent.extend(new)
+    env.recent.extend(map(_lighten, new))
     if new:
         env.announce_change()
 
@@ -52,7 +85,7 @@
             continue
         if env.fleet.offset + 1 >= page.head:
             leases.note_read(env, started_s)
-            env.is_ready = not env.is_stopping
+            set_mode(env, isolation.Mode.NORMAL)
 
 
 async def _read_all(
@@ -74,13 +107,13 @@
     """Take the newest snapshot that the log keeps, and what follows it."""
     try:
         entries = await _read_all(env, first)
-        env.fleet = snapshots.replay_log(first, entries, env.fleet)
+        state = snapshots.replay_log(first, entries, env.fleet)
     except (exceptions.PlatformError, exceptions.ReplayError) as error:
         log.warning("no usable snapshot", offset=first, error=error)
         await trio.sleep(LOG_RETRY_S)
         return
-    log.info("started from a snapshot", offset=env.fleet.snapshot.as_of)
-    env.announce_change()
+    replace_state(env, state)
+    log.info("started from a snapshot", offset=state.snapshot.as_of)
 
 
 async def write_snapshots(env: environment.Environment) -> None:
