--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -22,11 +22,13 @@
 from sycamorespool import peer_log
 from sycamorespool import peer_watch
 from sycamorespool import settings
+from sycamorespool import survey
 
 READINESS_NOTICE_S = 0.5
 
 
 def _make_peer_handlers(
+    own: owner.Owner,
     watch: peer_watch.PeerWatch,
     user: grant_user.GrantUser,
     followed: peer_log.PeerLog,
@@ -38,6 +40,7 @@
 
     return {
         messages.GrantsWanted: give_grants,
+        messages.StateWanted: survey.make_handler(watch.env, own),
         **peer_watch.make_handlers(watch),
         **peer_log.make_handlers(followed),
     }
@@ -98,7 +101,7 @@
             transport.serve,
             listen.peers,
             env.transport.codec,
-            _make_peer_handlers(watch, user, followed),
+            _make_peer_handlers(own, watch, user, followed),
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -86,6 +86,22 @@
     data: bytes
 
 
+class StateWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_wanted"
+):
+    """Ask an entry for its state, on behalf of an operator."""
+
+    entry: str
+
+
+class StateGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="state_given"
+):
+    """The state of the entry that was asked."""
+
+    state: models.EntryState
+
+
 class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
     """The message was taken in."""
 
@@ -107,6 +123,8 @@
     | RecordsGiven
     | SnapshotWanted
     | SnapshotGiven
+    | StateWanted
+    | StateGiven
     | Done
     | Refused
 )
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -18,6 +18,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -56,6 +57,8 @@
         The idle connections to backend servers.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -82,10 +85,13 @@
         default_factory=grants_held.GrantsHeld
     )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
-    # Quoted, as the field hides the module once it has its default.
+    # Quoted, as a field hides its module once it has a default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
