--- a/src/sycamorespool/entries/transport.py
+++ b/src/sycamorespool/entries/transport.py
@@ -13,7 +13,7 @@
 
 CALL_TIMEOUT_S = 1.0
 MAX_PEER_SOCKETS = 64
-REPLY_WORKERS = 16
+REPLY_WORKERS = 256
 
 
 Handler: t.TypeAlias = collections.abc.Callable[
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -8,6 +8,7 @@
 import httpcore
 import trio
 
+from sycamorespool import admission
 from sycamorespool.backend_servers import control
 from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import grant_book
@@ -53,6 +54,8 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    admission : admission.Admission
+        Queues, circuits and retry budgets.
     links : stream.Links
         The idle connections to backend servers.
     metrics : metrics.Metrics
@@ -60,7 +63,9 @@
     journal : journal.Journal
         What became of the newest requests.
     is_ready : bool
-        Whether the entry takes new work.
+        Whether the balancer may send new work.
+    is_stopping, is_draining : bool
+        Whether the entry was told to stop, and refuses new work by now.
     """
 
     settings: settings.Settings
@@ -84,8 +89,11 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
-    links: stream.Links = dataclasses.field(default_factory=stream.Links)
     # Quoted, as a field hides its module once it has a default.
+    admission: "admission.Admission" = dataclasses.field(
+        default_factory=admission.Admission
+    )
+    links: stream.Links = dataclasses.field(default_factory=stream.Links)
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
@@ -94,6 +102,7 @@
     )
     is_ready: bool = False
     is_stopping: bool = False
+    is_draining: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
     requests_open: int = 0
     request_closed: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -125,6 +134,14 @@
             {vm.domain for vm in self.vms.values() if vm.role != "entry"}
         )
 
+    def accepts(self) -> bool:
+        """Tell whether a new request is taken.
+
+        An entry that stops takes new work until the balancer has had time
+        to notice.
+        """
+        return self.is_ready or (self.is_stopping and not self.is_draining)
+
     def close_request(self) -> None:
         """Note that a request has got its whole answer or was left."""
         self.requests_open -= 1
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -30,6 +30,8 @@
         Requests that wait for a place, by service.
     using : collections.Counter
         Requests in flight, by service.
+    claims : dict
+        Places that this entry should have, by service that is short.
     shortage : trio.Event
         Set when a request finds no free place.
     """
@@ -47,6 +49,7 @@
     using: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    claims: dict[str, int] = dataclasses.field(default_factory=dict)
     shortage: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def put(self, answer: models.GrantAnswer, asked_s: float) -> None:
@@ -58,7 +61,13 @@
         grant_book.take_answer(self.book, answer, asked_s, trio.current_time())
 
     def count_wanted(self, service: str) -> int:
-        """Return the places that this entry could use."""
+        """Return the places that this entry could use.
+
+        While the fleet is short of places it is this entry's claim.
+        """
+        claim = self.claims.get(service)
+        if claim is not None:
+            return claim
         busy = self.using[service] + self.waiting[service]
         return busy + SPARE_PLACES + math.ceil(busy * SPARE_RATIO)
 
@@ -100,3 +109,16 @@
             for group_id, held in self.book.held.items()
             if not held.grant.warm
         }
+
+    def count_used(self, group_id: str) -> int:
+        """Return the requests in flight at a group."""
+        return self.book.in_flight[group_id]
+
+    def count_places(self, service: str) -> int:
+        """Return the places that the grants of a service give."""
+        now_s = trio.current_time()
+        return sum(
+            held.grant.places
+            for held in self.book.held.values()
+            if held.grant.service == service and now_s < held.until_s
+        )
