--- a/examples/processes.py
+++ b/examples/processes.py
@@ -223,8 +223,15 @@
         await self.put_vm(name, role, address, data_centre, domain)
         return process
 
-    async def start_entry(self, name: str, data_centre: str) -> Process:
-        """Start an entry."""
+    @property
+    def platform(self) -> str:
+        """Address of the platform."""
+        return self._platform
+
+    async def start_entry(
+        self, name: str, data_centre: str, platform: str = ""
+    ) -> Process:
+        """Start an entry, which may reach the platform by a relay."""
         listen = {
             part: find_free_address()
             for part in ("callers", "operators", "peers")
@@ -232,7 +239,7 @@
         text = SETTINGS.format(
             name=name,
             data_centre=data_centre,
-            platform=self._platform,
+            platform=platform or self._platform,
             **listen,
         )
         path = self._write_settings(name, text)
