--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -17,6 +17,7 @@
 from sycamorespool import grant_user
 from sycamorespool import grantor
 from sycamorespool import key_keeper
+from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
 from sycamorespool import metrics
 from sycamorespool.operators import api
@@ -49,6 +50,7 @@
         **peer_watch.make_handlers(watch),
         **peer_log.make_handlers(followed),
         **keyed_calls.make_handlers(keeper),
+        **key_settlement.make_handlers(keeper),
         **usage_exchange.make_handlers(exchange),
     }
 
@@ -118,7 +120,7 @@
             env.transport.codec,
             _make_peer_handlers(own, watch, user, followed, keeper, exchange),
         )
-        operators = api.make_app(env, own)
+        operators = api.make_app(env, own, keeper)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
         logging.info("entry: started name=%s", env.name)
         await callers_app.serve(env, stop, keyed)
