--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 RESULTS_PATH = pathlib.Path("build/benchmarks.json")
 MODULES = {
     "claimants": "benchmarks.claimants",
+    "keys": "benchmarks.keys",
     "relay": "benchmarks.relay",
     "retries": "benchmarks.retries",
     "shares": "benchmarks.shares",
