--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -39,6 +39,54 @@
     group_ids: tuple[str, ...]
 
 
+class RecordsWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="records_wanted"
+):
+    """Ask for the records of the fleet stream after an offset."""
+
+    after: int
+
+
+class RecordsGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="records_given"
+):
+    """Records of the fleet stream, each encoded.
+
+    Parameters
+    ----------
+    newest : int
+        Offset of the last record that the sender has applied.
+    unread_s : float
+        Time since its last read began that reached the head of the log.
+    is_too_old : bool
+        Whether it no longer keeps the first of the records wanted.
+    """
+
+    newest: int
+    unread_s: float
+    is_too_old: bool = False
+    entries: tuple[bytes, ...] = ()
+
+
+class SnapshotWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="snapshot_wanted"
+):
+    """Ask for a part of the whole state; part 0 sets ``as_of``."""
+
+    as_of: int
+    part: int
+
+
+class SnapshotGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="snapshot_given"
+):
+    """One of ``count`` parts of the state as of an offset."""
+
+    as_of: int
+    count: int
+    data: bytes
+
+
 class KeyAsked(msgspec.Struct, frozen=True, array_like=True, tag="key_asked"):
     """Ask the keeper of a key for a ruling on an attempt."""
 
@@ -72,6 +120,22 @@
     withdrawal: records.KeyWithdrawal | None = None
 
 
+class OpenKeysWanted(
+    msgspec.Struct, frozen=True, array_like=True, tag="open_keys_wanted"
+):
+    """Ask an entry for the keys without outcome that it keeps."""
+
+    entry: str
+
+
+class OpenKeysGiven(
+    msgspec.Struct, frozen=True, array_like=True, tag="open_keys_given"
+):
+    """The oldest keys without outcome of an entry's partitions."""
+
+    keys: tuple[models.OpenKey, ...]
+
+
 class UsageTold(
     msgspec.Struct, frozen=True, array_like=True, tag="usage_told"
 ):
@@ -123,10 +187,16 @@
     | GrantsWanted
     | GrantsGiven
     | GrantsWithdrawn
+    | RecordsWanted
+    | RecordsGiven
+    | SnapshotWanted
+    | SnapshotGiven
     | KeyAsked
     | KeyRuled
     | KeyRefused
     | KeyReported
+    | OpenKeysWanted
+    | OpenKeysGiven
     | UsageTold
     | StateWanted
     | StateGiven
