--- a/src/sycamorespool/report.py
+++ b/src/sycamorespool/report.py
@@ -31,6 +31,10 @@
     "added_p95_ms": "Added latency, p95 (ms)",
     "added_p99_ms": "Added latency, p99 (ms)",
 }
+SHARE_PANELS = {
+    "share_error": "Share received less share due (worst workspace)",
+    "served_per_step": "Requests served a step",
+}
 STYLE = """
 body { font: 15px/1.5 sans-serif; max-width: 72em; margin: 2em auto; }
 table { border-collapse: collapse; margin: 1em 0; }
@@ -164,9 +168,28 @@
     return _draw_panels(_draw_lines, panels)
 
 
+def draw_shares(results: Results) -> bytes:
+    """Plot how far shares are from what is due, as PNG.
+
+    Parameters
+    ----------
+    results : dict
+        Figures by spread of the callers, then by way of sharing.
+    """
+    panels: dict[str, Series] = {title: {} for title in SHARE_PANELS.values()}
+    for spread, ways in results.items():
+        for way, figures in ways.items():
+            for name, title in SHARE_PANELS.items():
+                if name in figures:
+                    bars = panels[title].setdefault(way, {})
+                    bars[spread] = figures[name]
+    return _draw_panels(_draw_bars, panels)
+
+
 PLOTS: dict[str, abc.Callable[[Results], bytes]] = {
     "group_policy": draw_group_policy,
     "relay": draw_relay,
+    "shares": draw_shares,
 }
 
 
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -26,6 +26,10 @@
 RESULTS = {
     "group_policy": POLICY,
     "relay": {**RELAY, "requests": {"entry": {"requests_per_cpu_s": 700.0}}},
+    "shares": {
+        "even": {"weights": {"share_error": 0.1}},
+        "ramp": {"even": {"exchanges_until_all_granted": 17}},
+    },
     "replay": {"<b>": [1, 2]},
 }
 PNG = b"\x89PNG"
@@ -38,7 +42,7 @@
         assert cli.run(["report", str(results), str(page)]) == 0
         text = page.read_text()
         images = re.findall(r'src="data:image/png;base64,([^"]+)"', text)
-        assert len(images) == 2
+        assert len(images) == 3
         assert all(base64.b64decode(i).startswith(PNG) for i in images)
         assert "http" not in text
         assert "&lt;b&gt;</td><td>[1, 2]" in text
