Cut every attempt of the request path at each point

Sequences of three attempts, each not reached, refused, cut or answered, for calls that may and may not be repeated, through the wired path: not run is true, at most one run, no server twice, an id for each attempt. With the row of a lost answer eased a call runs twice. Twenty refused calls make 30 attempts without a budget's income and 40 at half a retry each.

--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -166,7 +166,7 @@
     appends_per_s: Rate = 150.0
     window_s: Seconds = 86400.0
     log_retention_s: Seconds = 86400.0
-    repeat_wait_s: Seconds = 10.0
+    repeat_wait_s: Seconds = 5.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,131 @@
+"""Tests of the attempts at one request, cut at each point."""
+
+import collections
+import contextlib
+import itertools
+
+import pytest
+import trio
+import trio.testing
+
+from sycamorespool.backend_servers import stream
+from sycamorespool import configuration
+from sycamorespool.decisions import retries
+from sycamorespool import dispatch
+from sycamorespool import environment
+from sycamorespool import exceptions
+from sycamorespool import models
+from sycamorespool import relay
+from sycamorespool import settings
+from tests import key_fleet
+
+FAULTS = {
+    "not_reached": exceptions.BackendNotReached("no"),
+    "refused": exceptions.BackendRefused(503),
+    "cut": exceptions.BackendCut("cut"),
+}
+ENDS = ("not_reached", "refused", "cut", "answer")
+
+
+class FakeAnswer:
+    """A whole answer of a backend server."""
+
+    status = 200
+
+    def __init__(self):
+        self.headers = {"content-type": "text/plain"}
+        self.parts = [b"ok", b""]
+
+    async def read(self):
+        return self.parts.pop(0)
+
+
+class Backend:
+    """Ends each attempt as told; attempts that are sent run."""
+
+    def __init__(self, ends):
+        self.ends = collections.deque(ends)
+        self.runs = 0
+        self.attempts = []
+
+    @contextlib.asynccontextmanager
+    async def open_request(self, links, outgoing, idle_s, end_s):
+        await trio.lowlevel.checkpoint()
+        self.attempts.append(outgoing)
+        end = self.ends.popleft() if self.ends else "answer"
+        self.runs += end in ("cut", "answer")
+        if end != "answer":
+            raise FAULTS[end]
+        yield FakeAnswer()
+
+
+def run(backend, is_idempotent, monkeypatch, ratio=1.0, calls=1):
+    """Return what the caller is told of the last of some calls."""
+    monkeypatch.setattr(stream, "open_request", backend.open_request)
+    told = []
+
+    async def main():
+        env = environment.make_environment(
+            settings.parse(key_fleet.TEXT.format(name="entry-1"))
+        )
+        workspace = configuration.Workspace(retry_ratio=ratio)
+        env.fleet.config = configuration.Configuration(
+            workspaces={"w": workspace}
+        )
+        grants = tuple(
+            models.Grant(f"g{n}", "s", 1, 9, 1e9, f"a{n}", "dc")
+            for n in range(8)
+        )
+        env.held.put(models.GrantAnswer("u", 1, grants), 0.0)
+        for _ in range(calls):
+            told.append(await ask(env))
+        env.transport.close()
+
+    async def ask(env):
+        async def send(message):
+            return
+
+        call = dispatch.Call(
+            "r", "w", "high", "s", "POST", "/", b"", "x", is_idempotent
+        )
+        passed = relay.Relay(send, "r")
+        try:
+            await dispatch.run_call(env, call, passed)
+        except exceptions.RequestError as error:
+            return type(error).__name__
+        return "answer"
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return told[-1]
+
+
+class TestCuts:
+    @pytest.mark.parametrize("is_idempotent", [True, False])
+    @pytest.mark.parametrize("ends", list(itertools.product(ENDS, repeat=3)))
+    def test_answer_is_true(self, is_idempotent, ends, monkeypatch):
+        backend = Backend([*ends, "not_reached"])
+        told = run(backend, is_idempotent, monkeypatch)
+        if told == "NotRun":
+            assert backend.runs == 0
+        if not is_idempotent:
+            assert backend.runs <= 1
+        is_served = "answer" in ends[: len(backend.attempts)]
+        assert (told == "answer") == is_served
+        addresses = [outgoing.address for outgoing in backend.attempts]
+        assert len(set(addresses)) == len(addresses)
+        names = {outgoing.attempt_id for outgoing in backend.attempts}
+        assert len(names) == len(addresses)
+
+    @pytest.mark.parametrize(("ratio", "retries"), [(0.0, 10), (0.5, 20)])
+    def test_budget_bounds_the_attempts(self, ratio, retries, monkeypatch):
+        backend = Backend(["refused"] * 200)
+        told = run(backend, True, monkeypatch, ratio, calls=20)
+        assert told == "NotRun"
+        assert len(backend.attempts) == 20 + retries
+
+    def test_lost_answer_runs_twice_without_the_table(self, monkeypatch):
+        row = (False, retries.Cut.SENT)
+        monkeypatch.setitem(retries.ALLOWED, row, retries.Action.RETRY)
+        backend = Backend(["cut", "cut"])
+        run(backend, False, monkeypatch)
+        assert backend.runs > 1
