Set the ping period and test the loss and freeze of a grantor

Cause: with a part of one place, two entries were designated for it and the first to ask kept it, so the other got none; in the test of real processes one entry stayed refused for 30 s.

As many entries are designated as there are places, in turns of 2 s. An owner that does not answer no longer ends the search for a grantor.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -35,6 +35,7 @@
 
 [peers]
 shared_key = demo-shared-key
+ping_period_s = {ping_period_s}
 
 [operators]
 key = demo-operator-key
@@ -69,13 +70,19 @@
     process that it started.
     """
 
-    def __init__(self, load_s: float = 0.3, token_s: float = 0.01) -> None:
+    def __init__(
+        self,
+        load_s: float = 0.3,
+        token_s: float = 0.01,
+        ping_period_s: float = 1.0,
+    ) -> None:
         self.processes: dict[str, Process] = {}
         self.pool: httpcore.AsyncConnectionPool = http_client.make_pool()
         self._folder = tempfile.TemporaryDirectory()
         self._platform = find_free_address()
         self._load_s = load_s
         self._token_s = token_s
+        self._ping_period_s = ping_period_s
 
     async def __aenter__(self) -> t.Self:
         """Start the platform."""
@@ -213,6 +220,7 @@
             name=name,
             data_centre=data_centre,
             platform=self._platform,
+            ping_period_s=self._ping_period_s,
             **listen,
         )
         path = self._write_settings(name, text)
--- a/src/sycamorespool/decisions/grants.py
+++ b/src/sycamorespool/decisions/grants.py
@@ -16,7 +16,7 @@
 from sycamorespool import models
 
 QUOTA_REFRESH_S = 0.25
-TURN_S = 5.0
+TURN_S = 2.0
 DESIGNATED = 2
 
 
@@ -66,7 +66,9 @@
     ]
     designated = {
         group_id: frozenset(
-            rendezvous.rank(f"{turn}/{group_id}", hungry)[:DESIGNATED]
+            rendezvous.rank(f"{turn}/{group_id}", hungry)[
+                : min(DESIGNATED, capacity[group_id])
+            ]
         )
         for group_id in scarce
     }
--- a/src/sycamorespool/decisions/membership.py
+++ b/src/sycamorespool/decisions/membership.py
@@ -78,6 +78,8 @@
         Periods begun.
     began_s : float
         When the last period began, or -inf.
+    period_s : float
+        Time between two periods, in s.
     """
 
     own: pings.Update
@@ -87,21 +89,28 @@
     queue: list[str] = dataclasses.field(default_factory=list)
     periods: int = 0
     began_s: float = -math.inf
+    period_s: float = PERIOD_S
 
 
 def join(
-    entry: str, address: str, data_centre: str, region: str, incarnation: int
+    entry: str,
+    address: str,
+    data_centre: str,
+    region: str,
+    incarnation: int,
+    period_s: float = PERIOD_S,
 ) -> Membership:
     """Return the membership of an entry that has just started."""
     own = pings.Update(
         entry, address, data_centre, incarnation, 0, pings.Status.ALIVE, region
     )
-    return Membership(own, unsent={entry: 0})
+    return Membership(own, unsent={entry: 0}, period_s=period_s)
 
 
-def suspicion_s(size: int) -> float:
-    """Return how long a suspicion may be refuted among ``size`` entries."""
-    return SUSPICION_PERIODS * PERIOD_S * max(1.0, math.log10(size + 1))
+def suspicion_s(state: Membership) -> float:
+    """Return how long a suspicion may be refuted, in s."""
+    stretch = max(1.0, math.log10(size_of(state) + 1))
+    return SUSPICION_PERIODS * state.period_s * stretch
 
 
 def names_of(state: Membership, *statuses: pings.Status) -> list[str]:
@@ -271,15 +280,15 @@
 
 def _shift_for_pause(state: Membership, now_s: float) -> None:
     """Give suspects the time back that this entry was paused."""
-    gap_s = now_s - state.began_s - PERIOD_S
-    if math.isinf(gap_s) or gap_s < PAUSE_PERIODS * PERIOD_S:
+    gap_s = now_s - state.began_s - state.period_s
+    if math.isinf(gap_s) or gap_s < PAUSE_PERIODS * state.period_s:
         return
     for name in names_of(state, pings.Status.SUSPECT):
         state.members[name].since_s = now_s
 
 
 def _declare_dead(state: Membership, now_s: float) -> None:
-    limit_s = suspicion_s(size_of(state))
+    limit_s = suspicion_s(state)
     for name in names_of(state, pings.Status.SUSPECT):
         member = state.members[name]
         if now_s - member.since_s >= limit_s:
--- a/src/sycamorespool/grant_user.py
+++ b/src/sycamorespool/grant_user.py
@@ -120,10 +120,10 @@
 ) -> models.GrantAnswer | None:
     for name in _list_grantors(user, ask.unit):
         try:
-            return await _call(user, name, messages.GrantsWanted(ask))
+            answer = await _call(user, name, messages.GrantsWanted(ask))
         except exceptions.PeerError as error:
             log.info("ask failed", unit=ask.unit, entry=name, error=error)
-        answer = await _ask_through_others(user, name, ask)
+            answer = await _ask_through_others(user, name, ask)
         if answer is not None:
             return answer
     return None
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -10,6 +10,7 @@
 from sycamorespool.decisions import grants
 from sycamorespool.decisions import mandates
 from sycamorespool.decisions import ramps
+from sycamorespool import logs
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import peer_watch
@@ -19,6 +20,8 @@
 PAUSE_S = 2.0
 WATCH_PERIOD_S = 0.5
 
+log = logs.make_logger("grants")
+
 
 @dataclasses.dataclass(slots=True)
 class Grantor:
@@ -36,6 +39,8 @@
         Since when the log was read and half of the entries were heard.
     watched_s : float
         When that was last checked.
+    noted : dict
+        The last mandate by unit, for the log.
     """
 
     owner: owner.Owner
@@ -45,6 +50,9 @@
     )
     sound_since_s: float | None = None
     watched_s: float = -math.inf
+    noted: dict[str, mandates.Mandate | None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def _make_standing(
@@ -119,7 +127,17 @@
     now_s = trio.current_time()
     standing = _make_standing(grantor, unit, record, now_s)
     settle_s = peer_watch.settle_s(grantor.watch)
-    return mandates.decide(unit, standing, LEASE_S, settle_s)
+    mandate = mandates.decide(unit, standing, LEASE_S, settle_s)
+    if mandate != grantor.noted.get(unit):
+        grantor.noted[unit] = mandate
+        log.info("mandate changed", unit=unit, state=_describe(mandate))
+    return mandate
+
+
+def _describe(mandate: mandates.Mandate | None) -> str:
+    if mandate is None:
+        return "none"
+    return f"1/{2**mandate.halvings}"
 
 
 def _find_ledger(
--- a/src/sycamorespool/peer_watch.py
+++ b/src/sycamorespool/peer_watch.py
@@ -52,6 +52,7 @@
         chosen.entry.data_centre,
         chosen.entry.region,
         env.incarnation,
+        chosen.peers.ping_period_s,
     )
     return PeerWatch(env, state)
 
@@ -95,8 +96,8 @@
 def settle_s(watch: PeerWatch) -> float:
     """Return when a grantor of the other side must have stopped, in s."""
     return (
-        membership.suspicion_s(membership.size_of(watch.state))
-        + SETTLE_PERIODS * membership.PERIOD_S
+        membership.suspicion_s(watch.state)
+        + SETTLE_PERIODS * watch.state.period_s
         + grant_ledger.counted_ttl_s()
     )
 
@@ -177,7 +178,7 @@
         started_s = trio.current_time()
         await _run_period(watch)
         set_tiers(watch)
-        await trio.sleep_until(started_s + membership.PERIOD_S)
+        await trio.sleep_until(started_s + watch.state.period_s)
 
 
 def set_tiers(watch: PeerWatch) -> None:
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -84,9 +84,18 @@
 
 
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The protocol between entries."""
+    """The protocol between entries.
+
+    Parameters
+    ----------
+    shared_key : str
+        The key that authenticates messages, the same at every entry.
+    ping_period_s : float
+        Time between two pings of an entry, the same at every entry.
+    """
 
     shared_key: Secret
+    ping_period_s: Seconds = 1.0
 
 
 class OperatorsSection(
--- /dev/null
+++ b/tests/processes/test_grants.py
@@ -0,0 +1,91 @@
+"""Tests of grants and of the membership through real processes."""
+
+import signal
+
+from examples import demo
+from examples import processes
+
+DOCUMENT = {
+    "workspaces": {"w": {"key_hashes": [processes.CALLER_KEY_HASH]}},
+    "services": {
+        "assistant": {
+            "group_size": 1,
+            "replicas": 2,
+            "model": "m",
+            "cold_limit": 4,
+        },
+    },
+}
+ENTRIES = ("e1", "e2", "e3")
+
+
+async def start(deployment, domains):
+    """Start three entries and one engine in each domain."""
+    for domain in domains:
+        await deployment.start_engine(f"v-{domain}", "barracas", domain)
+    for name in ENTRIES:
+        entry = await deployment.start_entry(name, "barracas")
+        await deployment.wait_for(
+            lambda entry=entry: demo.is_ready(deployment, entry.address)
+        )
+    await demo.patch(deployment, "e1", DOCUMENT)
+    for name in ENTRIES:
+        await deployment.wait_for(
+            lambda name=name: is_served(deployment, name)
+        )
+
+
+async def is_served(deployment, entry, prompt="sizes?"):
+    tally = demo.Tally()
+    await demo.complete(deployment, tally, entry, prompt)
+    assert not tally.faults
+    return tally.served[entry]
+
+
+async def find_owner(deployment, domain):
+    status = await deployment.operate("e1", "GET", "/status")
+    return status["owners"].get(f"domain/{domain}")
+
+
+class TestOutage:
+    def test_next_entry_acts_for_an_owner_lost_while_the_log_is_down(
+        self, run_deployed
+    ):
+        async def scenario(deployment):
+            await start(deployment, ["f1"])
+            owner = await find_owner(deployment, "f1")
+            await deployment.set_faults("platform", log_down=True)
+            deployment.kill(owner)
+            others = [name for name in ENTRIES if name != owner]
+            await deployment.wait_for(
+                lambda: is_refused(deployment, others[0])
+            )
+            for name in others:
+                await deployment.wait_for(
+                    lambda name=name: is_served(deployment, name)
+                )
+
+        async def is_refused(deployment, name):
+            return not await is_served(deployment, name)
+
+        run_deployed(scenario, ping_period_s=0.2)
+
+
+class TestFreeze:
+    def test_replicas_of_a_frozen_owner_get_no_work_until_it_wakes(
+        self, run_deployed
+    ):
+        async def scenario(deployment):
+            await start(deployment, ["f1", "f2"])
+            owner = await find_owner(deployment, "f1")
+            process = deployment.processes[owner].popen
+            process.send_signal(signal.SIGSTOP)
+            others = [name for name in ENTRIES if name != owner]
+            for name in others:
+                await deployment.wait_for(
+                    lambda name=name: is_served(deployment, name)
+                )
+            process.send_signal(signal.SIGCONT)
+            await deployment.wait_for(lambda: is_served(deployment, owner))
+
+        run_deployed(scenario, ping_period_s=0.2)
