--- a/examples/processes.py
+++ b/examples/processes.py
@@ -4,8 +4,10 @@
 hosting platform.
 """
 
+from collections import abc
 import dataclasses
 import hashlib
+import os
 import pathlib
 import signal
 import socket
@@ -40,6 +42,7 @@
 [operators]
 key = demo-operator-key
 """
+FROM_SOURCE = (sys.executable, "-m", "sycamorespool")
 OPERATOR_HEADERS = {"x-operator-key": "demo-operator-key"}
 CALLER_KEY = "demo-caller-key"
 CALLER_KEY_HASH = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
@@ -68,6 +71,13 @@
 
     Use it as an asynchronous context manager; leaving it ends every
     process that it started.
+
+    Parameters
+    ----------
+    program : tuple of str
+        The command that each process begins with.
+    variables : mapping, optional
+        Environment variables, in place of those of this process.
     """
 
     def __init__(
@@ -75,6 +85,8 @@
         load_s: float = 0.3,
         token_s: float = 0.01,
         ping_period_s: float = 1.0,
+        program: tuple[str, ...] = FROM_SOURCE,
+        variables: abc.Mapping[str, str] | None = None,
     ) -> None:
         self.processes: dict[str, Process] = {}
         self.pool: httpcore.AsyncConnectionPool = http_client.make_pool()
@@ -83,6 +95,9 @@
         self._load_s = load_s
         self._token_s = token_s
         self._ping_period_s = ping_period_s
+        self._program = program
+        search = {"PYTHONPATH": os.pathsep.join(sys.path)}
+        self._variables = variables or {**os.environ, **search}
 
     async def __aenter__(self) -> t.Self:
         """Start the platform."""
@@ -113,9 +128,10 @@
         log_path = pathlib.Path(self._folder.name, f"{name}.log")
         with log_path.open("ab") as log_file:
             popen = subprocess.Popen(
-                [sys.executable, "-m", "sycamorespool", *words],
+                [*self._program, *words],
                 stdout=log_file,
                 stderr=log_file,
+                env=self._variables,
             )
         process = Process(name, popen, address, data_centre)
         self.processes[name] = process
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -7,6 +7,7 @@
 import httpcore
 import trio
 
+from sycamorespool import admission
 from sycamorespool.backend_servers import stream
 from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import replay
@@ -14,6 +15,7 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
 from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
@@ -38,12 +40,18 @@
         The platform's membership list, by name.
     held : grants_held.GrantsHeld
         The grants under which this entry sends work.
+    admission : admission.Admission
+        Queues, circuits and retry budgets.
     links : stream.Links
         The idle connections to backend servers.
     metrics : metrics.Metrics
         Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
-        Whether the entry takes new work.
+        Whether the balancer may send new work.
+    is_stopping, is_draining : bool
+        Whether the entry was told to stop, and refuses new work by now.
     """
 
     settings: settings.Settings
@@ -59,13 +67,20 @@
     held: grants_held.GrantsHeld = dataclasses.field(
         default_factory=grants_held.GrantsHeld
     )
+    # Quoted, as a field hides its module once it has a default.
+    admission: "admission.Admission" = dataclasses.field(
+        default_factory=admission.Admission
+    )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
-    # Quoted, as the field hides the module once it has its default.
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
+    is_draining: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
     requests_open: int = 0
     request_closed: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -97,6 +112,14 @@
             {vm.domain for vm in self.vms.values() if vm.role != "entry"}
         )
 
+    def accepts(self) -> bool:
+        """Tell whether a new request is taken.
+
+        An entry that stops takes new work until the balancer has had time
+        to notice.
+        """
+        return self.is_ready or (self.is_stopping and not self.is_draining)
+
     def close_request(self) -> None:
         """Note that a request has got its whole answer or was left."""
         self.requests_open -= 1
