--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
     "grants": "benchmarks.grants",
     "membership": "benchmarks.membership",
     "peers": "benchmarks.peers",
+    "keys": "benchmarks.keys",
     "relay": "benchmarks.relay",
     "retries": "benchmarks.retries",
     "shares": "benchmarks.shares",
