--- a/tests/processes/test_grants.py
+++ b/tests/processes/test_grants.py
@@ -1,5 +1,6 @@
 """Tests of grants and of the membership through real processes."""
 
+import itertools
 import signal
 
 from examples import demo
@@ -75,17 +76,33 @@
     def test_replicas_of_a_frozen_owner_get_no_work_until_it_wakes(
         self, run_deployed
     ):
+        numbers = itertools.count()
+
         async def scenario(deployment):
             await start(deployment, ["f1", "f2"])
             owner = await find_owner(deployment, "f1")
             process = deployment.processes[owner].popen
             process.send_signal(signal.SIGSTOP)
-            others = [name for name in ENTRIES if name != owner]
-            for name in others:
-                await deployment.wait_for(
-                    lambda name=name: is_served(deployment, name)
-                )
+            other = next(name for name in ENTRIES if name != owner)
+            await deployment.wait_for(lambda: is_idle(deployment, other))
+            assert await is_idle(deployment, other)
             process.send_signal(signal.SIGCONT)
-            await deployment.wait_for(lambda: is_served(deployment, owner))
+            await deployment.wait_for(lambda: is_busy(deployment, other))
+
+        async def is_idle(deployment, entry):
+            return not await is_busy(deployment, entry)
+
+        async def is_busy(deployment, entry):
+            """Tell whether any of 8 new prompts went to the owner's group."""
+            before = await count_served(deployment, "v-f1")
+            for _ in range(8):
+                prompt = f"restock {next(numbers)}"
+                assert await is_served(deployment, entry, prompt)
+            return await count_served(deployment, "v-f1") > before
+
+        async def count_served(deployment, vm):
+            address = deployment.processes[vm].address
+            report = await deployment.get(f"{address}/state")
+            return report["completed"]
 
         run_deployed(scenario, ping_period_s=0.2)
