--- a/examples/processes.py
+++ b/examples/processes.py
@@ -37,7 +37,6 @@
 
 [peers]
 shared_key = demo-shared-key
-ping_period_s = {ping_period_s}
 
 [operators]
 key = demo-operator-key
@@ -236,9 +235,10 @@
             name=name,
             data_centre=data_centre,
             platform=self._platform,
-            ping_period_s=self._ping_period_s,
             **listen,
         )
+        pace = f"[peers]\nping_period_s = {self._ping_period_s}"
+        text = text.replace("[peers]", pace)
         path = self._write_settings(name, text)
         process = self._start(
             name, data_centre, listen["callers"], "entry", path
