--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -1,5 +1,6 @@
 """The only daemon: an entry, wired from its parts."""
 
+import functools
 import signal
 
 from absl import logging
@@ -7,6 +8,7 @@
 
 from sycamorespool import asgi
 from sycamorespool.callers import app as callers_app
+from sycamorespool import claims
 from sycamorespool.entries import messages
 from sycamorespool.entries import transport
 from sycamorespool import environment
@@ -20,6 +22,7 @@
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
+from sycamorespool import peer_log
 from sycamorespool import peer_watch
 from sycamorespool import settings
 from sycamorespool import survey
@@ -32,6 +35,7 @@
     own: owner.Owner,
     watch: peer_watch.PeerWatch,
     user: grant_user.GrantUser,
+    followed: peer_log.PeerLog,
     keeper: key_keeper.KeyKeeper,
     exchange: usage_exchange.UsageExchange,
 ) -> transport.Handlers:
@@ -44,6 +48,7 @@
         messages.GrantsWanted: give_grants,
         messages.StateWanted: survey.make_handler(watch.env, own),
         **peer_watch.make_handlers(watch),
+        **peer_log.make_handlers(followed),
         **keyed_calls.make_handlers(keeper),
         **key_settlement.make_handlers(keeper),
         **usage_exchange.make_handlers(exchange),
@@ -65,6 +70,7 @@
     # The balancer polls readiness: requests that it sends before it notices
     # are still served.
     await trio.sleep(READINESS_NOTICE_S)
+    await claims.wait_until_released(env)
     env.is_draining = True
     await peer_watch.leave(watch)
     with trio.move_on_after(env.settings.limits.drain_timeout_s):
@@ -80,6 +86,7 @@
     watch = peer_watch.make_watch(env)
     granter = grantor.Grantor(own, watch)
     user = grant_user.GrantUser(env, granter, watch)
+    followed = peer_log.PeerLog(env, watch.state)
     keeper = key_keeper.KeyKeeper(env, lambda: peer_watch.list_heard(watch))
     exchange = usage_exchange.UsageExchange(env)
     stop = trio.Event()
@@ -91,9 +98,15 @@
         nursery.start_soon(_stop_on_signal, env, watch, keyed, stop)
         nursery.start_soon(fleet.follow_log, env)
         nursery.start_soon(fleet.follow_membership, env)
-        nursery.start_soon(fleet.claim_units, env)
+        nursery.start_soon(fleet.write_snapshots, env)
+        nursery.start_soon(
+            claims.run,
+            env,
+            functools.partial(claims.list_live, env, watch.state),
+        )
         nursery.start_soon(owner.run, own)
         nursery.start_soon(peer_watch.run, watch)
+        nursery.start_soon(peer_log.run, followed)
         nursery.start_soon(grantor.run, granter)
         nursery.start_soon(grant_user.ask_for_grants, user)
         nursery.start_soon(key_keeper.run, keeper)
@@ -105,7 +118,7 @@
             transport.serve,
             listen.peers,
             env.transport.codec,
-            _make_peer_handlers(own, watch, user, keeper, exchange),
+            _make_peer_handlers(own, watch, user, followed, keeper, exchange),
         )
         operators = api.make_app(env, own, keeper)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -10,12 +10,12 @@
 from sycamorespool.decisions import grants
 from sycamorespool.decisions import mandates
 from sycamorespool.decisions import ramps
+from sycamorespool import leases
 from sycamorespool import logs
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import peer_watch
 
-LEASE_S = 3.0
 SOUND_LOG_S = 2.0
 PAUSE_S = 2.0
 WATCH_PERIOD_S = 0.5
@@ -64,7 +64,7 @@
     return mandates.Standing(
         env.name,
         record.entry,
-        may_act=grantor.owner.owns(unit) and unread_s < LEASE_S,
+        may_act=leases.may_act(env, unit),
         log_unread_s=unread_s,
         sound_s=_tell_sound_s(grantor, now_s),
         is_predecessor_settled=predecessor is not fleet.Predecessor.ACTIVE,
@@ -127,7 +127,8 @@
     now_s = trio.current_time()
     standing = _make_standing(grantor, unit, record, now_s)
     settle_s = peer_watch.settle_s(grantor.watch)
-    mandate = mandates.decide(unit, standing, LEASE_S, settle_s)
+    lease_s = grantor.owner.env.lease.timing.lease_s
+    mandate = mandates.decide(unit, standing, lease_s, settle_s)
     if mandate != grantor.noted.get(unit):
         grantor.noted[unit] = mandate
         log.info("mandate changed", unit=unit, state=_describe(mandate))
@@ -150,8 +151,6 @@
             and record.predecessor is fleet.Predecessor.NONE
         )
         ledger = grant_ledger.open_ledger(unit, now_s, not is_first)
-        if record.predecessor is fleet.Predecessor.ACTIVE:
-            ledger.opens_s += LEASE_S * (1 + grant_ledger.DRIFT_RATIO)
         grantor.ledgers[unit] = (record.epoch, ledger)
     return ledger
 
--- a/tests/test_grant_user.py
+++ b/tests/test_grant_user.py
@@ -9,6 +9,7 @@
 from sycamorespool.decisions import fleet
 from sycamorespool.decisions import mandates
 from sycamorespool.decisions import membership
+from sycamorespool.decisions import ownership
 from sycamorespool.decisions import pings
 from sycamorespool.decisions import rendezvous
 from sycamorespool.entries import messages
@@ -16,6 +17,7 @@
 from sycamorespool import grant_user
 from sycamorespool import grantor
 from sycamorespool import grants_held
+from sycamorespool import leases
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import peer_watch
@@ -25,6 +27,12 @@
 ANSWER = messages.GrantsGiven(models.GrantAnswer(UNIT, 0, (GRANT,)))
 
 
+@pytest.fixture(autouse=True)
+def _lease(monkeypatch):
+    """Let the entry named o hold a lease on all that is asked of it."""
+    monkeypatch.setattr(leases, "may_act", lambda env, _: env.name == "o")
+
+
 class Network:
     """Reaches an entry at its name and plays a table of replies."""
 
@@ -54,6 +62,7 @@
         held=grants_held.GrantsHeld(),
         transport=Network(replies or {}),
         log_read_s=trio.current_time(),
+        lease=ownership.LeaseState(name, 1),
         vms={},
     )
     watch = peer_watch.PeerWatch(env, state)
