--- a/src/sycamorespool/backend_servers/stream.py
+++ b/src/sycamorespool/backend_servers/stream.py
@@ -261,7 +261,7 @@
     """Send a request and give the answer while its connection is open.
 
     The connection is closed, never used again, if the answer is left
-    before its end.
+    before its end or whoever reads it raises an error.
 
     Parameters
     ----------
@@ -283,6 +283,7 @@
     CallerStalled
         If the answer was not read on in time.
     """
+    may_keep = False
     link = None
     now_s = trio.current_time()
     if outgoing.may_reuse:
@@ -295,10 +296,11 @@
         with scope:
             await _begin(link, outgoing, answer)
             yield answer
+            may_keep = link.is_reusable()
         if scope.cancelled_caught:
             _raise_timeout(answer, end_s)
     finally:
-        if link.is_reusable():
+        if may_keep:
             links.put(outgoing.address, link, trio.current_time())
         else:
             link.connection.close()
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -13,7 +13,6 @@
 from sycamorespool import relay
 
 RETRY_AFTER_S = 1.0
-PLACE_POLL_S = 0.02
 MAX_ATTEMPTS = 4
 SERVER_ERROR = 500
 
@@ -48,23 +47,22 @@
 async def _take_place(
     env: environment.Environment, call: Call, excluded: set[str]
 ) -> models.Grant:
-    deadline_s = trio.current_time() + env.settings.limits.queue_timeout_s
     env.held.waiting[call.service] += 1
     try:
-        while True:
-            now_s = trio.current_time()
-            grant = env.held.find(call.service, now_s, excluded)
-            if grant is not None:
-                return grant
-            if now_s > deadline_s:
-                raise exceptions.NotRun(
-                    "no_capacity",
-                    f"no replica of {call.service} has a free place",
-                    retry_after_s=RETRY_AFTER_S,
-                )
-            await trio.sleep(PLACE_POLL_S)
+        with trio.move_on_after(env.settings.limits.queue_timeout_s):
+            while True:
+                now_s = trio.current_time()
+                grant = env.held.find(call.service, now_s, excluded)
+                if grant is not None:
+                    return grant
+                await env.held.changed.wait()
     finally:
         env.held.waiting[call.service] -= 1
+    raise exceptions.NotRun(
+        "no_capacity",
+        f"no replica of {call.service} has a free place",
+        retry_after_s=RETRY_AFTER_S,
+    )
 
 
 @contextlib.asynccontextmanager
@@ -99,7 +97,7 @@
         ) as answer:
             yield answer
     finally:
-        env.held.in_flight[grant.group_id] -= 1
+        env.held.release(grant.group_id)
 
 
 async def _copy(
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -3,12 +3,20 @@
 import collections
 import dataclasses
 
+import trio
+
 from sycamorespool import models
 
 
 @dataclasses.dataclass(slots=True)
 class GrantsHeld:
-    """Grants by group id, and the requests in flight under them."""
+    """Grants by group id, and the requests in flight under them.
+
+    Parameters
+    ----------
+    changed : trio.Event
+        Set when a place may have become free; each has its successor.
+    """
 
     grants: dict[str, tuple[models.Grant, float]] = dataclasses.field(
         default_factory=dict
@@ -19,11 +27,22 @@
     waiting: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def put(self, answer: models.GrantAnswer, asked_s: float) -> None:
         """Keep the grants of an answer that was asked for at ``asked_s``."""
         for grant in answer.grants:
             self.grants[grant.group_id] = (grant, asked_s + grant.ttl_s)
+        self._announce()
+
+    def release(self, group_id: str) -> None:
+        """Give back the place of a request that ended."""
+        self.in_flight[group_id] -= 1
+        self._announce()
+
+    def _announce(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
 
     def find(
         self, service: str, now_s: float, excluded: set[str]
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -21,7 +21,7 @@
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
 TOKEN = b"data:"
-NEXT_TOKEN = EVENT_END + TOKEN
+NEXT_TOKEN = b"\n" + TOKEN
 DONE = b"data: [DONE]\n\n"
 NEXT_DONE = EVENT_END + DONE
 FIELDS = (b"data:", b":", b"event:", b"id:", b"retry:")
@@ -85,7 +85,7 @@
         if not block.startswith(FIELDS):
             raise exceptions.BackendCut("the stream has no events")
         # A line break inside of an event's JSON is escaped, so that this
-        # counts beginnings of events only.
+        # counts lines with data only; a token's event has one.
         self.count += block.count(NEXT_TOKEN) + block.startswith(TOKEN)
         if block == DONE or block.endswith(NEXT_DONE):
             self.count -= 1
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,94 @@
+"""Tests of the relay of streams that are cut and resumed."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import trio
+
+from sycamorespool import exceptions
+from sycamorespool import relay
+
+EVENTS = [
+    b'data: {"a": "data: x\\n\\n"}\n\n',
+    b": keep-alive\n\n",
+    b'event: x\ndata: {"data:": 1}\n\n',
+    b'data: {"c": "[DONE]"}\n\n',
+]
+TOKENS = [event for event in EVENTS if event.startswith(relay.TOKEN)]
+
+
+class Source:
+    """A stream from a token on, in pieces, cut after some bytes."""
+
+    status = 200
+
+    def __init__(self, start, cut, sizes):
+        self.headers = {
+            "content-type": relay.EVENT_STREAM,
+            relay.RESUME_HEADER: str(start),
+        }
+        body = b"".join([*TOKENS[start:], relay.DONE])
+        self._body = body[:cut]
+        self._sizes = iter(sizes)
+
+    async def read(self):
+        size = next(self._sizes, 5)
+        piece, self._body = self._body[:size], self._body[size:]
+        return piece
+
+    async def finish(self):
+        return
+
+
+def pass_on(cuts, sizes):
+    """Return what a caller gets of a stream that is cut again and again."""
+    messages = []
+
+    async def send(message):
+        messages.append(message)
+
+    async def main():
+        passed = relay.Relay(send, "id")
+        for cut in [*cuts, None]:
+            source = Source(passed.events.count, cut, sizes)
+            try:
+                await passed.copy_events(source)
+                return
+            except exceptions.BackendCut:
+                continue
+
+    trio.run(main)
+    return messages
+
+
+class TestCutAnywhere:
+    @hypothesis.given(
+        cuts=st.lists(st.integers(0, 70), max_size=4),
+        sizes=st.lists(st.integers(1, 60), max_size=20),
+    )
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    def test_answer_is_whole(self, cuts, sizes):
+        messages = pass_on(cuts, sizes)
+        assert [m["type"] for m in messages].count("http.response.start") == 1
+        bodies = [m["body"] for m in messages[1:]]
+        assert b"".join(bodies) == b"".join([*TOKENS, relay.DONE])
+        assert [m["more_body"] for m in messages[1:]].count(False) == 1
+
+    def test_fails_if_half_an_event_is_kept(self, monkeypatch):
+        monkeypatch.setattr(relay.Events, "forget_half", lambda events: None)
+        messages = pass_on([len(TOKENS[0]) + 9], [])
+        body = b"".join(m.get("body", b"") for m in messages)
+        assert body != b"".join([*TOKENS, relay.DONE])
+
+
+class TestEvents:
+    @pytest.mark.parametrize("size", range(1, 40))
+    def test_counts_events_with_data_in_any_pieces(self, size):
+        events = relay.Events()
+        stream = b"".join([*EVENTS, relay.DONE])
+        pieces = [
+            events.take(stream[at : at + size])
+            for at in range(0, len(stream), size)
+        ]
+        assert b"".join(pieces) == stream
+        assert (events.count, events.is_done) == (3, True)
