--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -213,6 +213,7 @@
     ) -> None:
         head = asgi.read_head(scope)
         passed = relay.Relay(send, find_request_id(head))
+        started_s = trio.current_time()
         try:
             if not self._env.is_ready:
                 raise exceptions.NotRun(
@@ -225,7 +226,11 @@
                 _find_workspace(config, request.headers)
                 await passed.answer(list_models(config))
                 return
-            await self._run(request, receive, passed)
+            call = make_call(
+                self._env.fleet.config, request, passed.request_id
+            )
+            await self._run(call, receive, passed)
+            self._count_served(call, started_s, passed)
         except asgi.CallerGone:
             return
         except exceptions.CallerStalled as error:
@@ -250,12 +255,10 @@
 
     async def _run(
         self,
-        request: asgi.Request,
+        call: dispatch.Call,
         receive: asgi.Receive,
         passed: relay.Relay,
     ) -> None:
-        config = self._env.fleet.config
-        call = make_call(config, request, passed.request_id)
         if not call.is_idempotent:
             # It runs to its end even if the caller leaves, so that its
             # outcome does not become unknown by that.
@@ -281,6 +284,7 @@
         error: exceptions.NotRun | exceptions.OutcomeUnknown,
         passed: relay.Relay,
     ) -> None:
+        self._count_failed(error)
         if not passed.is_begun:
             await passed.answer(problems.make_problem(error))
             return
@@ -294,6 +298,29 @@
         await passed.send_last_error(problem)
         raise asgi.AnswerCut from error
 
+    def _count_served(
+        self, call: dispatch.Call, started_s: float, passed: relay.Relay
+    ) -> None:
+        metrics = self._env.metrics
+        labels = (call.workspace, call.priority)
+        metrics.count("requests_served", *labels)
+        first_token_s = passed.first_s - started_s
+        metrics.observe("first_token_s", first_token_s, *labels)
+        metrics.observe_stream(
+            passed.first_s, passed.last_s, passed.chunks, *labels
+        )
+
+    def _count_failed(
+        self, error: exceptions.NotRun | exceptions.OutcomeUnknown
+    ) -> None:
+        is_run_excluded = isinstance(error, exceptions.NotRun)
+        name = (
+            "requests_not_run"
+            if is_run_excluded
+            else "requests_outcome_unknown"
+        )
+        self._env.metrics.count(name, error.code)
+
 
 async def serve(
     env: environment.Environment,
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -9,6 +9,7 @@
 from sycamorespool.backend_servers import stream
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import journal
 from sycamorespool import models
 from sycamorespool import relay
 
@@ -47,6 +48,7 @@
 async def _take_place(
     env: environment.Environment, call: Call, excluded: set[str]
 ) -> models.Grant:
+    started_s = trio.current_time()
     env.held.waiting[call.service] += 1
     try:
         with trio.move_on_after(env.settings.limits.queue_timeout_s):
@@ -54,6 +56,12 @@
                 now_s = trio.current_time()
                 grant = env.held.find(call.service, now_s, excluded)
                 if grant is not None:
+                    env.metrics.observe(
+                        "queue_wait_s",
+                        now_s - started_s,
+                        call.workspace,
+                        call.priority,
+                    )
                     return grant
                 await env.held.changed.wait()
     finally:
@@ -160,6 +168,29 @@
     CallerStalled
         If the caller did not take its answer.
     """
+    trace = env.journal.open(
+        call.request_id, call.workspace, call.priority, call.service
+    )
+    try:
+        await _try_replicas(env, call, passed, trace)
+    except exceptions.NotRun as error:
+        trace.change("not_run", error.code)
+        raise
+    except exceptions.OutcomeUnknown as error:
+        trace.change("outcome_unknown", error.code)
+        raise
+    except BaseException:
+        trace.change("cut")
+        raise
+    trace.change("served")
+
+
+async def _try_replicas(
+    env: environment.Environment,
+    call: Call,
+    passed: relay.Relay,
+    trace: journal.Trace,
+) -> None:
     limits = env.settings.limits
     end_s = trio.current_time() + limits.request_timeout_s
     tries = _Tries()
@@ -168,6 +199,7 @@
             grant = await _take_place(env, call, tries.excluded)
         except exceptions.NotRun as error:
             raise tries.fail(error) from error
+        trace.send(grant.group_id)
         from_token = passed.events.count
         try:
             async with _attempt(env, call, grant, from_token, end_s) as answer:
@@ -179,3 +211,4 @@
             is_late = trio.current_time() >= end_s
             if is_late or not _may_go_on(call, passed, tries):
                 raise tries.fail(error) from error
+            env.metrics.count("attempts_retried", call.workspace)
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -12,6 +12,8 @@
 from sycamorespool.entries import transport
 from sycamorespool import grants_held
 from sycamorespool import http_client
+from sycamorespool import journal
+from sycamorespool import metrics
 from sycamorespool import models
 from sycamorespool.platform import log
 from sycamorespool import settings
@@ -37,6 +39,10 @@
         The grants under which this entry sends work.
     links : stream.Links
         The idle connections to backend servers.
+    metrics : metrics.Metrics
+        Counters, gauges and histograms of this entry.
+    journal : journal.Journal
+        What became of the newest requests.
     is_ready : bool
         Whether the entry takes new work.
     """
@@ -55,6 +61,13 @@
         default_factory=grants_held.GrantsHeld
     )
     links: stream.Links = dataclasses.field(default_factory=stream.Links)
+    # Quoted, as a field hides its module once it has a default.
+    metrics: "metrics.Metrics" = dataclasses.field(
+        default_factory=metrics.Metrics
+    )
+    journal: "journal.Journal" = dataclasses.field(
+        default_factory=journal.Journal
+    )
     is_ready: bool = False
     is_stopping: bool = False
     fleet_changed: trio.Event = dataclasses.field(default_factory=trio.Event)
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -5,6 +5,7 @@
 
     SycamorespoolError
     +-- SettingsError
+    |   +-- SettingsFaults
     +-- ConfigurationError
     |   +-- PatchConflict
     +-- ReplayError
@@ -13,6 +14,7 @@
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
     |   +-- RecordsExpired
+    |   +-- KeyHistoryLost
     +-- PeerError
     |   +-- PeerUnavailable
     |   +-- PeerRejected
@@ -24,6 +26,10 @@
     |   +-- NotRun
     |   +-- OutcomeUnknown
     |   +-- CallerStalled
+    +-- OperatorError
+    |   +-- OperatorUnreached
+    |   +-- OperatorAnswerLost
+    |   +-- OperatorRefused
     +-- InvariantViolation
 """
 
@@ -50,6 +56,21 @@
         self.problem = problem
 
 
+class SettingsFaults(SettingsError):
+    """A settings file has several faults.
+
+    Parameters
+    ----------
+    faults : tuple of SettingsError
+        All of them.
+    """
+
+    def __init__(self, faults: tuple[SettingsError, ...]) -> None:
+        problem = "".join(f"\n  {fault}" for fault in faults)
+        super().__init__("file", f"{len(faults)} faults", problem)
+        self.faults = faults
+
+
 class ConfigurationError(SycamorespoolError):
     """A patch yields a configuration that is not valid."""
 
@@ -108,6 +129,10 @@
         self.first_offset = first_offset
 
 
+class KeyHistoryLost(PlatformError):
+    """Records of idempotency keys expired before a snapshot held them."""
+
+
 class PeerError(SycamorespoolError):
     """A call to another entry failed."""
 
@@ -204,6 +229,35 @@
     """The caller did not take the bytes of its answer in time."""
 
 
+class OperatorError(SycamorespoolError):
+    """A call of an operator's client failed."""
+
+
+class OperatorUnreached(OperatorError):
+    """No entry answered; the call had no effect."""
+
+
+class OperatorAnswerLost(OperatorError):
+    """The answer was lost; the call may have had effect."""
+
+
+class OperatorRefused(OperatorError):
+    """An entry refused the call; it had no effect.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the refusal.
+    detail : str
+        What the entry gave as its reason.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(f"entry refused with {status}: {detail}")
+        self.status = status
+        self.detail = detail
+
+
 class InvariantViolation(SycamorespoolError):
     """A promise of the system does not hold.
 
