Don't count a request as served whose caller left

Cause: a caller that left ended the request without an error, so that it counted as served, with a first token before its start. Ruled out: counting it as a refusal, as nobody was told anything.

--- a/benchmarks/relay_processes.py
+++ b/benchmarks/relay_processes.py
@@ -47,9 +47,9 @@
 [platform]
 address = 127.0.0.1:3
 [peers]
-shared_key = k
+shared_key = benchmark-key
 [operators]
-key = k
+key = benchmark-key
 """
 
 
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -278,6 +278,8 @@
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        if not passed.is_whole:
+            raise asgi.CallerGone
 
     async def _refuse(
         self,
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -111,8 +111,9 @@
     ----------
     events : Events
         What the caller has got of a streamed completion.
-    is_begun : bool
-        Whether anything was sent; no other answer can be given after it.
+    is_begun, is_whole : bool
+        Whether anything was sent, after which no other answer can be
+        given, and whether all was.
     first_s, last_s : float
         When the first and the last part were passed on.
     chunks : int
@@ -122,6 +123,7 @@
     def __init__(self, send: asgi.Send, request_id: str) -> None:
         self.events = Events()
         self.is_begun = False
+        self.is_whole = False
         self.first_s = 0.0
         self.last_s = 0.0
         self.chunks = 0
@@ -219,6 +221,7 @@
             }
         )
         if not is_more:
+            self.is_whole = True
             self.last_s = trio.current_time()
 
     async def send_last_error(self, problem: bytes) -> None:
--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -149,6 +149,8 @@
             await backend.left.wait()
             assert trio.current_time() == started_s
             assert setting.env.links.count_idle() == 0
+            await trio.testing.wait_all_tasks_blocked()
+            assert not setting.env.metrics.counters
 
         harness.run(test, backend)
 
