--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -97,7 +97,10 @@
         environment.make_id(),
         may_reuse=call.is_idempotent,
     )
-    idle_s = env.settings.limits.idle_timeout_s
+    limits = env.settings.limits
+    # An engine is silent until a completion that is not streamed is whole.
+    is_silent = call.is_completion and not call.is_stream
+    idle_s = limits.request_timeout_s if is_silent else limits.idle_timeout_s
     env.held.in_flight[grant.group_id] += 1
     try:
         async with stream.open_request(
@@ -178,6 +181,8 @@
         raise
     except exceptions.OutcomeUnknown as error:
         trace.change("outcome_unknown", error.code)
+        if passed.is_begun:
+            env.metrics.count("requests_cut", call.workspace, call.priority)
         raise
     except BaseException:
         trace.change("cut")
