Frame the middle chunks of an answer without h11's checks

Cause: the profile of the entry at 60 streams had 8 % of its time in h11's send, which checks the type and the state of each chunk again. Change: after the first chunk went through h11, which tells whether the answer is chunked, the later ones are framed as h11 would; the head and the end stay with it, so that its state stays true. Ruled out: skipping h11's second look at an empty buffer on the backend side (3.3 us of some 105), as it needs an account of the bytes inside h11.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -61,6 +61,7 @@
         self._connection = connection
         self._head: h11.Response | None = None
         self._is_body_read = False
+        self._is_chunked = False
         self._pipelined_bytes = 0
 
     async def receive(self) -> dict[str, t.Any]:
@@ -107,19 +108,29 @@
                 status_code=message["status"], headers=message["headers"]
             )
             return
+        try:
+            await self._connection.send(self._encode_body(message))
+        except OSError as error:
+            raise asgi.CallerGone from error
+
+    def _encode_body(self, message: dict[str, t.Any]) -> bytes:
+        body = message.get("body", b"")
+        is_last = not message.get("more_body", False)
+        if self._is_chunked and body and not is_last:
+            # What h11 returns for a chunk, without its checks, which the
+            # first one passed.
+            return b"%x\r\n%b\r\n" % (len(body), body)
         parts = []
         if self._head is not None:
             parts.append(self._http.send(self._head))
             self._head = None
-        body = message.get("body", b"")
         if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        if not message.get("more_body", False):
+            encoded = self._http.send(h11.Data(data=body))
+            self._is_chunked = encoded != body
+            parts.append(encoded)
+        if is_last:
             parts.append(self._http.send(h11.EndOfMessage()))
-        try:
-            await self._connection.send(b"".join(parts))
-        except OSError as error:
-            raise asgi.CallerGone from error
+        return b"".join(parts)
 
 
 async def _next_event(
