--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -135,9 +135,12 @@
         """Send an answer of the entry itself."""
         headers = {**response.headers, **self._headers}
         self.is_begun = True
+        self.first_s = trio.current_time()
         await asgi.send_response(
             self._send, dataclasses.replace(response, headers=headers)
         )
+        self.is_whole = True
+        self.last_s = trio.current_time()
 
     async def copy_events(self, answer: Source) -> None:
         """Pass on a streamed completion, from the token reached before.
--- a/src/sycamorespool/survey.py
+++ b/src/sycamorespool/survey.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sycamorespool.entries import messages
 from sycamorespool.entries import transport
 from sycamorespool import environment
 from sycamorespool import exceptions
@@ -43,9 +44,9 @@
 ) -> transport.Handler:
     """Return the handler of the other entries' question."""
 
-    async def tell_state(message: transport.StateWanted) -> transport.Message:
+    async def tell_state(message: messages.StateWanted) -> messages.Message:
         state = describe_entry(env, own, trio.current_time())
-        return transport.StateGiven(state)
+        return messages.StateGiven(state)
 
     return tell_state
 
@@ -59,11 +60,11 @@
     async with limiter:
         try:
             reply = await env.transport.call(
-                peer.address, transport.StateWanted(env.name)
+                peer.address, messages.StateWanted(env.name)
             )
         except exceptions.PeerError:
             return
-    if isinstance(reply, transport.StateGiven):
+    if isinstance(reply, messages.StateGiven):
         found[peer.vm] = reply.state
 
 
--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -23,7 +23,9 @@
 KEY = "caller-key"
 QUIET_S = 0.03
 TTL_S = 1e9
-LIMITS = settings.LimitsSection(max_head_bytes=8192, max_body_bytes=65536)
+LIMITS = settings.LimitsSection(
+    queue_timeout_s=0.5, max_head_bytes=8192, max_body_bytes=65536
+)
 DOCUMENT = {
     "services": {
         "model": {"kind": "model"},
@@ -90,7 +92,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Backend:
-    """A backend server that plays one script a connection.
+    """A backend server that plays one script a request.
+
+    Given twice, it is two replicas that take the scripts in turn.
 
     Parameters
     ----------
@@ -236,13 +240,13 @@
             models.Grant(f"{s}-{name}", s, 1, 4, TTL_S, address, "here")
             for s in ("model", "plain")
         )
-        answer = models.GrantAnswer("domain/d", 1, grants)
+        answer = models.GrantAnswer(f"domain/{name}", 1, grants)
         self.env.held.put(answer, trio.current_time())
 
     def assert_all_freed(self) -> None:
         """Check that no request holds anything any longer."""
         assert self.env.requests_open == 0
-        assert sum(self.env.held.in_flight.values()) == 0
+        assert sum(self.env.held.using.values()) == 0
         assert sum(self.env.held.waiting.values()) == 0
 
 
--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -293,15 +293,14 @@
 class TestResume:
     def test_cut_stream_goes_on_at_its_token(self):
         half = harness.make_chunk(harness.make_event(2)[:9])
-        cut = harness.make_backend(
-            harness.make_stream(0, 1, end=False) + half, stays=False
-        )
-        other = harness.make_backend(harness.make_stream(2, 3))
-        reply = harness.run_ask(request(), cut, other)
+        cut = harness.make_stream(0, 1, end=False) + half
+        rest = harness.make_stream(2, 3)
+        replica = harness.make_backend(cut, rest, stays=False)
+        reply = harness.run_ask(request(), replica, replica)
         events = [harness.make_event(index) for index in range(4)]
         assert reply.body == b"".join([*events, harness.DONE])
         assert reply.is_whole
-        assert other.requests[0]["x-resume-from-token"] == "2"
+        assert replica.requests[1]["x-resume-from-token"] == "2"
 
     @pytest.mark.parametrize(
         "second",
@@ -312,9 +311,8 @@
         ],
     )
     def test_answer_from_another_token_is_not_mixed_in(self, second):
-        cut = harness.make_backend(
-            harness.make_stream(0, end=False), stays=False
-        )
+        cut = harness.make_stream(0, end=False)
+        replica = harness.make_backend(cut, second, stays=False)
 
         async def test(setting):
             reply = await setting.ask(request())
@@ -326,4 +324,4 @@
             counters = setting.env.metrics.counters
             assert counters[("requests_cut", "w", "normal")] == 1
 
-        harness.run(test, cut, harness.make_backend(second))
+        harness.run(test, replica, replica)
