--- a/src/sycamorespool/key_keeper.py
+++ b/src/sycamorespool/key_keeper.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 import dataclasses
+import math
 import time
 
 import trio
@@ -29,6 +30,8 @@
 RETRY_AFTER_S = 2.0
 # Under the transport's workers, so that keys never hold up its other calls.
 MAX_ASKS = 224
+# The first attempt is at work, or withdrew and left the key free.
+UNDECIDED = frozenset({keys.Ruling.IN_PROGRESS, keys.Ruling.APPEND})
 ANSWER_LOST = "log_answer_lost"
 
 log = logs.make_logger("keys")
@@ -95,7 +98,8 @@
     return exceptions.NotRun(code, detail, retry_after_s=RETRY_AFTER_S)
 
 
-async def _follow(keeper: KeyKeeper, partition: key_streams.Partition) -> None:
+async def follow(keeper: KeyKeeper, partition: key_streams.Partition) -> None:
+    """Replay the stream of a partition to its head."""
     await key_streams.follow(keeper.env.log, partition, keeper.window_s)
 
 
@@ -104,7 +108,7 @@
 ) -> None:
     age_s = trio.current_time() - partition.followed_s
     if partition.state is None or age_s >= FOLLOW_PERIOD_S:
-        await _follow(keeper, partition)
+        await follow(keeper, partition)
 
 
 def _answer(
@@ -131,7 +135,8 @@
     OutcomeLost
         If it may stand in the log, or land there later.
     """
-    if not key_batches.add(keeper.policy, partition.batcher, item):
+    now_s = trio.current_time()
+    if not key_batches.add(keeper.policy, partition.batcher, item, now_s):
         raise _refuse("key_backlog", "too many keyed calls wait for the log")
     wait = key_streams.Append()
     partition.appends.append((item, wait))
@@ -164,7 +169,7 @@
     )
     try:
         if partition.state is None:
-            await _follow(keeper, partition)
+            await follow(keeper, partition)
         return await _decide(keeper, partition, call, intent, wait_s)
     except exceptions.KeyHistoryLost as error:
         raise _refuse("key_history_lost", str(error)) from error
@@ -199,18 +204,32 @@
     intent: records.KeyIntent,
     wait_s: float,
 ) -> Answer:
-    answer = _answer(keeper, partition, call)
-    if answer.ruling is keys.Ruling.APPEND:
-        await append(keeper, partition, intent)
+    deadline_s = trio.current_time() + wait_s
+    while True:
         answer = _answer(keeper, partition, call)
         if answer.ruling is keys.Ruling.APPEND:
-            raise exceptions.OutcomeLost("the intent is not replayed yet")
-    with trio.move_on_after(wait_s):
-        while answer.ruling is keys.Ruling.IN_PROGRESS:
-            await trio.sleep(FOLLOW_PERIOD_S / 2)
-            await _follow_lately(keeper, partition)
+            await append(keeper, partition, intent)
             answer = _answer(keeper, partition, call)
-    return answer
+        is_open = answer.ruling in UNDECIDED
+        if not is_open or trio.current_time() >= deadline_s:
+            return answer
+        await trio.sleep(FOLLOW_PERIOD_S / 2)
+        await _follow_lately(keeper, partition)
+
+
+async def _take_in(
+    keeper: KeyKeeper,
+    partition: key_streams.Partition,
+    batch: records.KeyBatch,
+    offset: int,
+) -> None:
+    """Replay a batch that stands at ``offset``, and all before it."""
+    async with partition.lock:
+        state = partition.state
+        if state is not None and offset <= state.offset + 1:
+            keys.apply(state, offset, batch, keeper.window_s)
+            return
+    await follow(keeper, partition)
 
 
 async def _append_batch(
@@ -224,11 +243,11 @@
     may be the copy that lands twice.  Its intents are withdrawn.
     """
     try:
-        await keeper.env.log.append(partition.stream, [batch])
+        offsets = await keeper.env.log.append(partition.stream, [batch])
     except exceptions.PlatformError as error:
         return error
     try:
-        await _follow(keeper, partition)
+        await _take_in(keeper, partition, batch, offsets[0])
     except exceptions.PlatformError as error:
         return exceptions.OutcomeLost(str(error))
     return None
@@ -254,11 +273,13 @@
     while True:
         now_s = trio.current_time()
         due_s = key_batches.find_append_time(policy, batcher, now_s)
-        if due_s is None:
+        due_s = math.inf if due_s is None else due_s
+        due_s = max(due_s, partition.down_until_s)
+        if due_s > now_s:
             partition.added = trio.Event()
-            await partition.added.wait()
+            with trio.move_on_at(due_s):
+                await partition.added.wait()
             continue
-        await trio.sleep_until(max(due_s, partition.down_until_s))
         batch = key_batches.take(
             policy, batcher, environment.make_id(), trio.current_time()
         )
