--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -21,7 +21,7 @@
 EVENT_STREAM = "text/event-stream"
 EVENT_END = b"\n\n"
 TOKEN = b"data:"
-NEXT_TOKEN = EVENT_END + TOKEN
+NEXT_TOKEN = b"\n" + TOKEN
 DONE = b"data: [DONE]\n\n"
 NEXT_DONE = EVENT_END + DONE
 FIELDS = (b"data:", b":", b"event:", b"id:", b"retry:")
@@ -85,7 +85,7 @@
         if not block.startswith(FIELDS):
             raise exceptions.BackendCut("the stream has no events")
         # A line break inside of an event's JSON is escaped, so that this
-        # counts beginnings of events only.
+        # counts lines with data only; a token's event has one.
         self.count += block.count(NEXT_TOKEN) + block.startswith(TOKEN)
         if block == DONE or block.endswith(NEXT_DONE):
             self.count -= 1
@@ -111,8 +111,9 @@
     ----------
     events : Events
         What the caller has got of a streamed completion.
-    is_begun : bool
-        Whether anything was sent; no other answer can be given after it.
+    is_begun, is_whole : bool
+        Whether anything was sent, after which no other answer can be
+        given, and whether all was.
     first_s, last_s : float
         When the first and the last part were passed on.
     chunks : int
@@ -122,6 +123,7 @@
     def __init__(self, send: asgi.Send, request_id: str) -> None:
         self.events = Events()
         self.is_begun = False
+        self.is_whole = False
         self.first_s = 0.0
         self.last_s = 0.0
         self.chunks = 0
@@ -133,10 +135,12 @@
         """Send an answer of the entry itself."""
         headers = {**response.headers, **self._headers}
         self.is_begun = True
-        self.first_s = self.last_s = trio.current_time()
+        self.first_s = trio.current_time()
         await asgi.send_response(
             self._send, dataclasses.replace(response, headers=headers)
         )
+        self.is_whole = True
+        self.last_s = trio.current_time()
 
     async def copy_events(self, answer: Source) -> None:
         """Pass on a streamed completion, from the token reached before.
@@ -220,6 +224,7 @@
             }
         )
         if not is_more:
+            self.is_whole = True
             self.last_s = trio.current_time()
 
     async def send_last_error(self, problem: bytes) -> None:
