Run the group planner in the daemon

The owner probes each VM by itself, so that a VM that does not answer holds up no probe of another, plans when something changed and at least twice a second, and carries out records, orders, drains and cache moves. Orders to engines that ignore fencing numbers need a log read within the lease. A plain service takes no orders; answering its probe suffices. The stand-in engine takes orders to load weights in advance.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 RESULTS_PATH = pathlib.Path("build/benchmarks.json")
 MODULES = {
     "claimants": "benchmarks.claimants",
+    "group_policy": "benchmarks.group_policy",
     "relay": "benchmarks.relay",
     "replay": "benchmarks.replay",
 }
--- a/benchmarks/vm_model.py
+++ b/benchmarks/vm_model.py
@@ -221,7 +221,8 @@
             self.append(action.record)
         elif isinstance(action, group_plans.Send):
             self.vms[action.vm].take(action.order, self.load_s)
-            groups.note_answer(self.memories[domain], action.vm)
+            memory = self.memories[domain]
+            groups.note_answer(memory, action.vm, action.order)
 
     def advance(self, elapsed_s: float) -> None:
         """Let the weight loads go on; they share the rate of the store."""
--- a/src/sycamorespool/backend_servers/control.py
+++ b/src/sycamorespool/backend_servers/control.py
@@ -46,3 +46,38 @@
     except http_client.ExchangeFailed as error:
         raise exceptions.BackendCut(str(error)) from error
     return _decode_report(answer)
+
+
+async def move_cache(
+    pool: httpcore.AsyncConnectionPool, source: str, target: str
+) -> None:
+    """Export the KV cache of one backend server and import it at another.
+
+    Parameters
+    ----------
+    source, target : str
+        Their ``IP:port``.
+
+    Raises
+    ------
+    BackendError
+        If the cache was not moved; nothing depends on it.
+    """
+    exported = await _call(pool, f"http://{source}/kv/export")
+    await _call(pool, f"http://{target}/kv/import", exported)
+
+
+async def _call(
+    pool: httpcore.AsyncConnectionPool, url: str, body: bytes = b""
+) -> bytes:
+    try:
+        answer = await http_client.exchange(
+            pool, "POST", url, body, ORDER_TIMEOUT_S
+        )
+    except http_client.NotReached as error:
+        raise exceptions.BackendNotReached(str(error)) from error
+    except http_client.ExchangeFailed as error:
+        raise exceptions.BackendCut(str(error)) from error
+    if answer.status >= 300:
+        raise exceptions.BackendRefused(answer.status, url)
+    return answer.body
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -14,6 +14,7 @@
 from sycamorespool import gauges
 from sycamorespool import grant_user
 from sycamorespool import grantor
+from sycamorespool import group_control
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
@@ -77,7 +78,7 @@
         nursery.start_soon(fleet.follow_log, env)
         nursery.start_soon(fleet.follow_membership, env)
         nursery.start_soon(fleet.claim_units, env)
-        nursery.start_soon(owner.run, own)
+        nursery.start_soon(group_control.run, own)
         nursery.start_soon(peer_watch.run, watch)
         nursery.start_soon(grantor.run, granter)
         nursery.start_soon(grant_user.ask_for_grants, user)
--- a/src/sycamorespool/decisions/formations.py
+++ b/src/sycamorespool/decisions/formations.py
@@ -67,8 +67,10 @@
     by_warmth = sorted(ranks, key=lambda r: not draft.has_warm(service, r))
     for rank in by_warmth:
         chosen[rank] = draft.take(service, name, rank)
+    number = f"{draft.view.epoch}.{draft.memory.sequence + 1}"
     return draft.append(
         records.GroupFormed,
+        group_id=f"{name}-{number}",
         service=name,
         members=tuple(chosen.values()),
         replaces=replaces,
--- a/src/sycamorespool/decisions/group_plans.py
+++ b/src/sycamorespool/decisions/group_plans.py
@@ -90,7 +90,6 @@
         self.memory.sequence += 1
         view = self.view
         record_id = f"{view.unit}@{view.epoch}.{self.memory.sequence}"
-        fields.setdefault("group_id", record_id)
         record = make(
             record_id=record_id, unit=view.unit, epoch=view.epoch, **fields
         )
--- a/src/sycamorespool/decisions/group_states.py
+++ b/src/sycamorespool/decisions/group_states.py
@@ -18,7 +18,7 @@
 from sycamorespool.decisions import replay
 from sycamorespool import models
 
-AFFIRMED_WITHIN_S = 1.0
+AFFIRMED_WITHIN_S = 1.5
 SILENT_AFTER_FAILURES = 3
 LOST_AFTER_S = 1.0
 
--- a/src/sycamorespool/decisions/groups.py
+++ b/src/sycamorespool/decisions/groups.py
@@ -20,6 +20,7 @@
 from sycamorespool.decisions import moves
 from sycamorespool.decisions import repairs
 from sycamorespool.decisions import vm_health
+from sycamorespool import models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,10 +92,12 @@
     memory.pending.discard(record_id)
 
 
-def note_answer(memory: group_states.Memory, vm: str) -> None:
-    """Note that a VM answered its newest order, so that it has landed."""
+def note_answer(
+    memory: group_states.Memory, vm: str, order: models.Order
+) -> None:
+    """Note that a VM answered an order, so that it has landed."""
     sent = memory.orders.get(vm)
-    if sent is not None:
+    if sent is not None and sent.order == order:
         sent.has_landed = True
 
 
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -154,7 +154,10 @@
     observed_s = min(started_s for _, started_s in received)
     account = ledger.accounts.get(group.group_id)
     facts = grant_ledger.make_facts(
-        env.fleet.config, group, env.vms, own.is_whole(group.group_id, now_s)
+        env.fleet.config,
+        group,
+        env.vms,
+        own.may_take_work(group.group_id, now_s),
     )
     if account is not None:
         account.facts = facts
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -93,6 +93,11 @@
         self.using[grant.service] -= 1
         grant_book.end(self.book, grant.group_id)
 
+    def list_warm(self) -> set[str]:
+        """Return the groups that bear as much as a warm one."""
+        held = self.book.held.items()
+        return {group_id for group_id, h in held if h.grant.warm}
+
     def list_cold(self) -> set[str]:
         """Return the groups that still bear less than a warm one."""
         return {
--- /dev/null
+++ b/src/sycamorespool/group_control.py
@@ -0,0 +1,213 @@
+"""The loops by which an owner probes VMs and carries out the group plans."""
+
+from collections import abc
+import dataclasses
+
+from absl import logging
+import trio
+
+from sycamorespool.backend_servers import control
+from sycamorespool.decisions import group_plans
+from sycamorespool.decisions import groups
+from sycamorespool import environment
+from sycamorespool import exceptions
+from sycamorespool import models
+from sycamorespool import owner
+from sycamorespool import records
+
+PROBE_PERIOD_S = 0.5
+PLAN_PERIOD_S = 0.5
+PLAN_PAUSE_S = 0.05
+LEASE_S = 3.0
+CACHE_MOVE_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class GroupControl:
+    """The running work of an owner.
+
+    Parameters
+    ----------
+    probing : set
+        VMs whose probe has not ended.
+    unsettled : dict
+        Records that may not be in the log yet, by unit and record id.
+    """
+
+    owner: owner.Owner
+    nursery: trio.Nursery
+    probing: set[str] = dataclasses.field(default_factory=set)
+    unsettled: dict[str, dict[str, records.Record]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def env(self) -> environment.Environment:
+        """The environment of this process."""
+        return self.owner.env
+
+    def list_units(self) -> list[str]:
+        """Return the units of fabric domains that this process owns."""
+        if self.env.is_stopping:
+            return []
+        units = [f"domain/{domain}" for domain in self.env.domains()]
+        return [unit for unit in units if self.owner.owns(unit)]
+
+
+async def run(own: owner.Owner) -> None:
+    """Probe, plan and act for every owned domain, for ever."""
+    async with trio.open_nursery() as nursery:
+        control_ = GroupControl(own, nursery)
+        nursery.start_soon(_run_probes, control_)
+        nursery.start_soon(_wake_on_records, control_)
+        await _run_plans(control_)
+
+
+async def _run_probes(control_: GroupControl) -> None:
+    # A VM that does not answer holds up no probe of another one.
+    own = control_.owner
+    while True:
+        for unit in control_.list_units():
+            for name in own.list_vms(unit):
+                vm = control_.env.vms.get(name) or own.listed.get(name)
+                if vm is not None and name not in control_.probing:
+                    control_.probing.add(name)
+                    control_.nursery.start_soon(_probe, control_, vm)
+        await trio.sleep(PROBE_PERIOD_S)
+
+
+async def _probe(control_: GroupControl, vm: models.Vm) -> None:
+    try:
+        await owner.probe(control_.owner, vm)
+    finally:
+        control_.probing.discard(vm.vm)
+
+
+async def _wake_on_records(control_: GroupControl) -> None:
+    while True:
+        await control_.env.fleet_changed.wait()
+        control_.owner.announce_change()
+
+
+async def _run_plans(control_: GroupControl) -> None:
+    own = control_.owner
+    while True:
+        with trio.move_on_after(PLAN_PERIOD_S):
+            await own.changed.wait()
+        own.changed = trio.Event()
+        for unit in control_.list_units():
+            await _plan(control_, unit)
+        await trio.sleep(PLAN_PAUSE_S)
+
+
+async def _plan(control_: GroupControl, unit: str) -> None:
+    own = control_.owner
+    await _append(control_, unit, control_.unsettled.pop(unit, {}))
+    memory = own.memory_of(unit)
+    view = own.view(unit, trio.current_time())
+    fresh: dict[str, records.Record] = {}
+    for action in groups.plan(view, memory):
+        if isinstance(action, group_plans.Append):
+            fresh[action.record.record_id] = action.record
+        else:
+            await _PERFORM[type(action)](control_, unit, action)
+    await _append(control_, unit, fresh)
+
+
+async def _append(
+    control_: GroupControl, unit: str, batch: dict[str, records.Record]
+) -> None:
+    if not batch:
+        return
+    env = control_.env
+    try:
+        await env.log.append(records.FLEET_STREAM, list(batch.values()))
+    except exceptions.OutcomeLost as error:
+        # Replay drops a record that it has seen, so appending again is safe.
+        logging.warning("groups: append unknown unit=%s %s", unit, error)
+        env.metrics.count("log_appends_failed")
+        control_.unsettled[unit] = batch
+    except exceptions.PlatformError as error:
+        logging.warning("groups: append failed unit=%s %s", unit, error)
+        env.metrics.count("log_appends_failed")
+        memory = control_.owner.memory_of(unit)
+        for record_id in batch:
+            groups.forget_record(memory, record_id)
+
+
+async def _send(
+    control_: GroupControl, unit: str, action: group_plans.Send
+) -> None:
+    control_.nursery.start_soon(_send_order, control_, unit, action)
+
+
+def _may_send(control_: GroupControl, unit: str) -> bool:
+    # Engines that refuse old epochs may be ordered on while the log is out;
+    # the others only as long as no other owner can have taken over.
+    env = control_.env
+    if not control_.owner.owns(unit):
+        return False
+    services = env.fleet.config.services.values()
+    is_checked = all(s.fencing == "checked" for s in services)
+    return is_checked or trio.current_time() - env.log_read_s < LEASE_S
+
+
+async def _send_order(
+    control_: GroupControl, unit: str, action: group_plans.Send
+) -> None:
+    env = control_.env
+    vm = env.vms.get(action.vm) or control_.owner.listed.get(action.vm)
+    if vm is None or not _may_send(control_, unit):
+        return
+    memory = control_.owner.memory_of(unit)
+    try:
+        await control.send_order(env.pool, vm.address, action.order)
+        groups.note_answer(memory, action.vm, action.order)
+    except exceptions.BackendRefused:
+        groups.note_answer(memory, action.vm, action.order)
+        env.metrics.count("orders_failed")
+    except exceptions.BackendError as error:
+        logging.warning("groups: order failed vm=%s %s", action.vm, error)
+        env.metrics.count("orders_failed")
+    else:
+        await owner.probe(control_.owner, vm)
+
+
+async def _begin_drain(
+    control_: GroupControl, unit: str, action: group_plans.BeginDrain
+) -> None:
+    logging.info(
+        "groups: drain begins group=%s reason=%s",
+        action.group_id,
+        action.reason,
+    )
+
+
+async def _end_drain(
+    control_: GroupControl, unit: str, action: group_plans.EndDrain
+) -> None:
+    logging.info("groups: drain ends group=%s", action.group_id)
+
+
+async def _move_cache(
+    control_: GroupControl, unit: str, action: group_plans.MoveCache
+) -> None:
+    env = control_.env
+    listed = control_.owner.listed
+    source, target = listed.get(action.source), listed.get(action.target)
+    if source is None or target is None:
+        return
+    try:
+        with trio.fail_after(CACHE_MOVE_TIMEOUT_S):
+            await control.move_cache(env.pool, source.address, target.address)
+    except (exceptions.BackendError, trio.TooSlowError) as error:
+        # The group serves without the cache, only slower at first.
+        logging.info("groups: cache not moved group=%s %s", unit, error)
+
+
+_PERFORM: dict[type, abc.Callable[..., abc.Awaitable[None]]] = {
+    group_plans.Send: _send,
+    group_plans.BeginDrain: _begin_drain,
+    group_plans.EndDrain: _end_drain,
+    group_plans.MoveCache: _move_cache,
+}
--- a/src/sycamorespool/operators/explain.py
+++ b/src/sycamorespool/operators/explain.py
@@ -99,6 +99,19 @@
     return reasons or [f"{view.describe_owner(unit)} may use it"]
 
 
+def _explain_health(view: View, vm: models.Vm) -> list[str]:
+    found = view.own.explain_vm(f"domain/{vm.domain}", vm.vm, view.now_s)
+    reasons = [f"the planner takes it as {found['condition']}"]
+    if found["weights"]:
+        reasons.append(f"it holds the weights {found['weights']}")
+    if found["condition"] == "quarantined":
+        reasons.append(
+            f"it enters no group for {found['quarantined_for_s']} s, after "
+            f"{found['flaps']} times silent or a change of owner"
+        )
+    return reasons
+
+
 def explain_vm(view: View, name: str) -> Explanation | None:
     """Say why a VM is where it is, or None if there is no such VM."""
     env = view.env
@@ -114,6 +127,8 @@
         state = "leaving" if reasons else "entry"
         return Explanation("vm", name, state, reasons or [f"at {vm.address}"])
     reasons.append(_describe_report(view, name))
+    if view.own.owns(f"domain/{vm.domain}"):
+        reasons += _explain_health(view, vm)
     if group_id is None:
         reasons += _explain_free(view, vm)
         return Explanation("vm", name, "free", reasons)
@@ -132,6 +147,9 @@
         return "has answered no probe"
     if not view.own.is_alive(name, view.now_s):
         return f"silent for {view.now_s - received_s:.1f} s"
+    service = view.env.fleet.config.services.get(group.service)
+    if service is not None and service.kind == "plain":
+        return ""  # plain services take no orders
     if (report.group_id, report.epoch) != (group.group_id, group.epoch):
         return f"reports group {report.group_id or 'none'}"
     if report.phase is not models.EnginePhase.READY:
@@ -164,7 +182,11 @@
         if (fault := _find_member_fault(view, group, vm))
     ]
     state = "not whole" if faults else "whole"
-    return Explanation("group", name, state, faults + reasons)
+    found = view.own.explain_group(name, view.now_s)
+    plan = [f"the planner takes it as {found['state']}"]
+    if found["drain"]:
+        plan.append(f"it takes no new work: {found['drain']}")
+    return Explanation("group", name, state, faults + reasons + plan)
 
 
 def explain_unit(view: View, name: str) -> Explanation | None:
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -1,19 +1,17 @@
-"""The owner of fabric domains: probes, groups and orders."""
+"""What the owner of fabric domains knows: probes, views and wholeness."""
 
+from collections import abc
 import dataclasses
+import math
 
-from absl import logging
 import trio
 
-from sycamorespool.backend_servers import control
 from sycamorespool.backend_servers import probes
+from sycamorespool.decisions import group_states
+from sycamorespool.decisions import groups
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
-from sycamorespool import records
-
-PLAN_PERIOD_S = 0.5
-AFFIRMED_WITHIN_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,7 +21,16 @@
     Parameters
     ----------
     reports : dict
-        Newest report and the time of its receipt, by VM.
+        Newest report and the start of its probe, by VM.
+    failures : dict
+        Consecutive probes without an answer, by VM.
+    listed : dict
+        VMs as the membership last listed them, kept while they belong to
+        a group.
+    memories : dict
+        Memory of the group planner, by unit.
+    changed : trio.Event
+        Set when a probe shows something new.
     """
 
     env: environment.Environment
@@ -31,6 +38,12 @@
     reports: dict[str, tuple[models.ProbeReport, float]] = dataclasses.field(
         default_factory=dict
     )
+    failures: dict[str, int] = dataclasses.field(default_factory=dict)
+    listed: dict[str, models.Vm] = dataclasses.field(default_factory=dict)
+    memories: dict[str, group_states.Memory] = dataclasses.field(
+        default_factory=dict
+    )
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def owns(self, unit: str) -> bool:
         """Tell whether this process is the owner of record of a unit."""
@@ -40,134 +53,137 @@
             self.env.incarnation,
         )
 
+    def memory_of(self, unit: str) -> group_states.Memory:
+        """Return the planner's memory of a unit, made at first use."""
+        return self.memories.setdefault(unit, group_states.Memory())
+
     def is_alive(self, vm: str, now_s: float) -> bool:
         """Tell whether a VM answered a probe lately."""
         known = self.reports.get(vm)
-        return known is not None and now_s - known[1] < AFFIRMED_WITHIN_S
+        if known is None:
+            return False
+        return now_s - known[1] <= group_states.AFFIRMED_WITHIN_S
 
     def is_whole(self, group_id: str, now_s: float) -> bool:
         """Tell whether every member lately affirmed the group as ready."""
+        fleet = self.env.fleet
+        group = fleet.groups[group_id]
+        view = group_states.DomainView(
+            unit=group.unit,
+            epoch=fleet.epoch_of(group.unit),
+            now_s=now_s,
+            state=fleet,
+            vms=self._tell_evidence(group.members),
+        )
+        return group_states.is_whole(view, group)
+
+    def may_take_work(self, group_id: str, now_s: float) -> bool:
+        """Tell whether a group is whole and does not drain."""
         group = self.env.fleet.groups[group_id]
-        for vm in group.members:
-            report, received_s = self.reports.get(vm, (None, 0.0))
-            is_affirmed = (
-                report is not None
-                and now_s - received_s < AFFIRMED_WITHIN_S
-                and report.group_id == group_id
-                and report.epoch == group.epoch
-                and report.phase is models.EnginePhase.READY
+        is_draining = self.owns(group.unit) and (
+            group_id in self.memory_of(group.unit).drains
+        )
+        return not is_draining and self.is_whole(group_id, now_s)
+
+    def list_vms(self, unit: str) -> list[str]:
+        """Return the VMs of a domain and of the groups of its unit."""
+        domain = unit.removeprefix("domain/")
+        current = self.env.backends(domain)
+        self.listed.update(current)
+        members = [
+            vm
+            for group in self.env.fleet.groups.values()
+            if group.unit == unit
+            for vm in group.members
+        ]
+        return list(dict.fromkeys([*current, *members]))
+
+    def view(self, unit: str, now_s: float) -> group_states.DomainView:
+        """Return what the planner has to know of a unit."""
+        env = self.env
+        vms = self._tell_evidence(self.list_vms(unit))
+        return group_states.DomainView(
+            unit=unit,
+            epoch=env.fleet.epoch_of(unit),
+            now_s=now_s,
+            state=env.fleet,
+            vms=vms,
+            in_flight=self._count_in_flight(unit),
+            warm=env.held.list_warm(),
+            fleet=[vm for vm in env.vms.values() if vm.role != "entry"],
+        )
+
+    def _tell_evidence(
+        self, names: abc.Iterable[str]
+    ) -> dict[str, group_states.VmEvidence]:
+        return {
+            name: self._tell_evidence_of(name)
+            for name in names
+            if name in self.listed or name in self.env.vms
+        }
+
+    def _tell_evidence_of(self, name: str) -> group_states.VmEvidence:
+        report, received_s = self.reports.get(name, (None, -math.inf))
+        current = self.env.vms.get(name)
+        return group_states.VmEvidence(
+            current or self.listed[name],
+            report,
+            received_s,
+            self.failures.get(name, 0),
+            current is not None,
+        )
+
+    def _count_in_flight(self, unit: str) -> dict[str, int]:
+        return {
+            group.group_id: max(
+                report.in_flight
+                for vm in group.members
+                if (report := self._newest(vm)) is not None
             )
-            if not is_affirmed:
-                return False
-        return True
+            for group in self.env.fleet.groups.values()
+            if group.unit == unit and any(map(self._newest, group.members))
+        }
 
+    def _newest(self, vm: str) -> models.ProbeReport | None:
+        known = self.reports.get(vm)
+        return known[0] if known else None
+
+    def explain_vm(self, unit: str, vm: str, now_s: float) -> dict[str, str]:
+        """Say what the planner makes of a VM of an owned unit."""
+        view = self.view(unit, now_s)
+        return groups.explain_vm(view, self.memory_of(unit), vm)
+
+    def explain_group(self, group_id: str, now_s: float) -> dict[str, str]:
+        """Say what the planner makes of a group of an owned unit."""
+        unit = self.env.fleet.groups[group_id].unit
+        view = self.view(unit, now_s)
+        return groups.explain_group(view, self.memory_of(unit), group_id)
 
-async def run(owner: Owner) -> None:
-    """Plan for every owned domain, for ever."""
-    env = owner.env
-    while True:
-        await trio.sleep(PLAN_PERIOD_S)
-        for domain in env.domains():
-            unit = f"domain/{domain}"
-            if owner.owns(unit) and not env.is_stopping:
-                await _plan(owner, domain, unit)
+    def announce_change(self) -> None:
+        """Wake the planning loop."""
+        self.changed.set()
 
 
 async def probe(owner: Owner, vm: models.Vm) -> None:
-    """Probe a VM and keep its report."""
+    """Probe a VM and keep its report, or count the failure."""
     started_s = trio.current_time()
     try:
         report = await owner.prober.probe(vm.address)
     except exceptions.BackendError:
+        owner.failures[vm.vm] = owner.failures.get(vm.vm, 0) + 1
+        owner.announce_change()
         return
+    before, _ = owner.reports.get(vm.vm, (None, 0.0))
+    was_silent = owner.failures.pop(vm.vm, 0) > 0
     owner.reports[vm.vm] = (report, started_s)
+    if was_silent or before is None or _has_moved(before, report):
+        owner.announce_change()
 
 
-async def _plan(owner: Owner, domain: str, unit: str) -> None:
-    env = owner.env
-    async with trio.open_nursery() as nursery:
-        for vm in env.backends(domain).values():
-            nursery.start_soon(probe, owner, vm)
-    batch = _dissolve_broken(owner, unit) or _form_groups(owner, domain, unit)
-    if batch:
-        try:
-            await env.log.append(records.FLEET_STREAM, batch)
-        except exceptions.PlatformError as error:
-            logging.warning("groups: append failed unit=%s %s", unit, error)
-            env.metrics.count("log_appends_failed")
-    async with trio.open_nursery() as nursery:
-        for group in env.fleet.groups.values():
-            if group.unit == unit:
-                for rank, vm in enumerate(group.members):
-                    nursery.start_soon(_order, owner, group.group_id, rank, vm)
-
-
-def _dissolve_broken(owner: Owner, unit: str) -> list[records.Record]:
-    now_s = trio.current_time()
-    return [
-        records.GroupDissolved(
-            environment.make_id(),
-            unit,
-            owner.env.fleet.epoch_of(unit),
-            group.group_id,
-            "a member is missing",
-        )
-        for group in owner.env.fleet.groups.values()
-        if group.unit == unit
-        and not all(owner.is_alive(vm, now_s) for vm in group.members)
-    ]
-
-
-def _form_groups(owner: Owner, domain: str, unit: str) -> list[records.Record]:
-    env = owner.env
-    now_s = trio.current_time()
-    free = [
-        vm
-        for vm in env.backends(domain).values()
-        if vm.vm not in env.fleet.group_of_vm
-        and vm.state is models.VmState.LIVE
-        and env.fleet.config.is_in_service(vm.data_centre, vm.vm)
-        and owner.is_alive(vm.vm, now_s)
-    ]
-    batch: list[records.Record] = []
-    for name, service in env.fleet.config.services.items():
-        role = "engine" if service.kind == "model" else f"service/{name}"
-        fitting = sorted(vm.vm for vm in free if vm.role == role)
-        count = sum(g.service == name for g in env.fleet.groups.values())
-        members = tuple(fitting[: service.group_size])
-        if count < service.replicas and len(members) == service.group_size:
-            free = [vm for vm in free if vm.vm not in members]
-            batch.append(
-                records.GroupFormed(
-                    environment.make_id(),
-                    unit,
-                    env.fleet.epoch_of(unit),
-                    f"{name}-{environment.make_id()[:8]}",
-                    name,
-                    members,
-                )
-            )
-    return batch
+def _has_moved(before: models.ProbeReport, after: models.ProbeReport) -> bool:
+    return any(
+        getattr(before, name) != getattr(after, name) for name in _PLACE
+    )
 
 
-async def _order(owner: Owner, group_id: str, rank: int, vm: str) -> None:
-    env = owner.env
-    group = env.fleet.groups.get(group_id)
-    report, _ = owner.reports.get(vm, (None, 0.0))
-    if group is None or report is None or vm not in env.vms:
-        return
-    if (report.group_id, report.epoch) == (group_id, group.epoch):
-        return
-    service = env.fleet.config.services[group.service]
-    order = models.JoinOrder(
-        group.epoch,
-        group_id,
-        rank,
-        group.members,
-        f"{service.model}@{service.version}#{rank}",
-    )
-    try:
-        await control.send_order(env.pool, env.vms[vm].address, order)
-    except exceptions.BackendError as error:
-        logging.warning("groups: order failed vm=%s error=%s", vm, error)
-        env.metrics.count("orders_failed")
+_PLACE = ("incarnation", "phase", "group_id", "epoch", "rank", "weights")
--- a/src/sycamorespool/standins/engine.py
+++ b/src/sycamorespool/standins/engine.py
@@ -95,6 +95,7 @@
         self.faults = Faults()
         self.phase = models.EnginePhase.IDLE
         self.order: models.JoinOrder | None = None
+        self.wanted: models.JoinOrder | models.LoadOrder | None = None
         self.epoch = -1
         self.weights = ""
         self.in_flight = 0
@@ -137,7 +138,7 @@
         self.incarnation += 1
         self.completed = 0
         self.weights = ""
-        self.order = None
+        self.order = self.wanted = None
         self.epoch = -1
         self.phase = models.EnginePhase.IDLE
         self._fallen.set()
@@ -151,8 +152,10 @@
         self.epoch = order.epoch
         if isinstance(order, models.JoinOrder):
             self._join(order)
+        elif isinstance(order, models.LoadOrder):
+            self._load(order)
         elif self.order is not None and self.order.group_id == order.group_id:
-            self.order = None
+            self.order = self.wanted = None
             self.phase = models.EnginePhase.IDLE
         if self.faults.order_answer_lost:
             return asgi.Response(500, b"answer lost")
@@ -160,10 +163,14 @@
 
     def _join(self, order: models.JoinOrder) -> None:
         self.order = order
+        self._load(order)
+
+    def _load(self, order: models.JoinOrder | models.LoadOrder) -> None:
         if self.weights == order.weights:
             self.phase = models.EnginePhase.READY
         else:
             self.phase = models.EnginePhase.LOADING
+            self.wanted = order
             self._loading.set()
 
     async def run_loads(self) -> None:
@@ -171,7 +178,7 @@
         while True:
             await self._loading.wait()
             self._loading = trio.Event()
-            order = self.order
+            order = self.wanted
             if order is None or self.phase is not models.EnginePhase.LOADING:
                 continue
             url = f"http://{self._platform}/store/{order.weights}"
@@ -181,7 +188,7 @@
                 )
             except (http_client.NotReached, http_client.ExchangeFailed):
                 answer = http_client.Answer(503, {}, b"")
-            if self.order is not order:
+            if self.wanted is not order:
                 self._loading.set()
             elif answer.status == 200:
                 self.weights = order.weights
