--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,8 @@
     "claimants": "benchmarks.claimants",
     "group_policy": "benchmarks.group_policy",
     "relay": "benchmarks.relay",
+    "retries": "benchmarks.retries",
+    "shares": "benchmarks.shares",
     "replay": "benchmarks.replay",
 }
 
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -15,12 +15,15 @@
 from sycamorespool import grant_user
 from sycamorespool import grantor
 from sycamorespool import group_control
+from sycamorespool import key_keeper
+from sycamorespool import keyed_calls
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
 from sycamorespool import peer_watch
 from sycamorespool import settings
 from sycamorespool import survey
+from sycamorespool import usage_exchange
 
 READINESS_NOTICE_S = 0.5
 
@@ -29,6 +32,8 @@
     own: owner.Owner,
     watch: peer_watch.PeerWatch,
     user: grant_user.GrantUser,
+    keeper: key_keeper.KeyKeeper,
+    exchange: usage_exchange.UsageExchange,
 ) -> transport.Handlers:
     """Return the handler of each message that other entries send."""
 
@@ -39,12 +44,15 @@
         messages.GrantsWanted: give_grants,
         messages.StateWanted: survey.make_handler(watch.env, own),
         **peer_watch.make_handlers(watch),
+        **keyed_calls.make_handlers(keeper),
+        **usage_exchange.make_handlers(exchange),
     }
 
 
 async def _stop_on_signal(
     env: environment.Environment,
     watch: peer_watch.PeerWatch,
+    keyed: keyed_calls.KeyedCalls,
     stop: trio.Event,
 ) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -54,11 +62,13 @@
     env.is_stopping = True
     env.is_ready = False
     # The balancer polls readiness: requests that it sends before it notices
-    # still get an answer.
+    # are still served.
     await trio.sleep(READINESS_NOTICE_S)
+    env.is_draining = True
     await peer_watch.leave(watch)
     with trio.move_on_after(env.settings.limits.drain_timeout_s):
         await env.wait_until_idle()
+        await keyed.wait_until_reported()
     stop.set()
 
 
@@ -69,12 +79,15 @@
     watch = peer_watch.make_watch(env)
     granter = grantor.Grantor(own, watch)
     user = grant_user.GrantUser(env, granter, watch)
+    keeper = key_keeper.KeyKeeper(env, lambda: peer_watch.list_heard(watch))
+    exchange = usage_exchange.UsageExchange(env)
     stop = trio.Event()
     listen = chosen.listen
     statsd = metrics.make_client(chosen.statsd.address, chosen.statsd.prefix)
     metrics.count_violations(env.metrics)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, env, watch, stop)
+        keyed = keyed_calls.KeyedCalls(env, keeper, nursery)
+        nursery.start_soon(_stop_on_signal, env, watch, keyed, stop)
         nursery.start_soon(fleet.follow_log, env)
         nursery.start_soon(fleet.follow_membership, env)
         nursery.start_soon(fleet.claim_units, env)
@@ -82,6 +95,8 @@
         nursery.start_soon(peer_watch.run, watch)
         nursery.start_soon(grantor.run, granter)
         nursery.start_soon(grant_user.ask_for_grants, user)
+        nursery.start_soon(key_keeper.run, keeper)
+        nursery.start_soon(usage_exchange.run, exchange)
         nursery.start_soon(
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
         )
@@ -89,12 +104,12 @@
             transport.serve,
             listen.peers,
             env.transport.codec,
-            _make_peer_handlers(own, watch, user),
+            _make_peer_handlers(own, watch, user, keeper, exchange),
         )
         operators = api.make_app(env, own)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
         logging.info("entry: started name=%s", env.name)
-        await callers_app.serve(env, stop)
+        await callers_app.serve(env, stop, keyed)
         nursery.cancel_scope.cancel()
     env.transport.close()
     logging.info("entry: stopped name=%s", env.name)
