--- a/benchmarks/group_faults.py
+++ b/benchmarks/group_faults.py
@@ -81,7 +81,8 @@
     down_s : float
         Seconds that wanted replicas did not serve, outside drains.
     stranded_s : float
-        Seconds that VMs served in no working group, outside drains.
+        Seconds that more VMs than the spares served in no working group,
+        outside drains.
     """
 
     down_s: float = 0.0
@@ -274,10 +275,10 @@
         self._count(serving, step_s)
         loads = self._list_loads()
         self.fleet.advance(step_s)
+        self.now_s += step_s
         for vm in loads:
             if not vm.load_target:
                 self.touch(vm)
-        self.now_s += step_s
 
     def _list_loads(self) -> list[vm_model.ModelVm]:
         return [vm for vm in self.fleet.vms.values() if vm.load_target]
@@ -289,6 +290,10 @@
             for name, service in self.fleet.state.config.services.items()
         )
 
+    def _count_wanted_vms(self) -> int:
+        services = self.fleet.state.config.services.values()
+        return sum(s.replicas * s.group_size for s in services)
+
     def _count(self, serving: list, step_s: float) -> None:
         if self.now_s < START_S:
             return
@@ -304,7 +309,8 @@
             used = sum(len(group.members) for group in serving)
             up = sum(vm.is_up for vm in self.fleet.vms.values())
             tally.down_s += down_s
-            tally.stranded_s += (up - used) * step_s
+            spare = len(self.fleet.vms) - self._count_wanted_vms()
+            tally.stranded_s += max(0, up - used - spare) * step_s
             tally.observed_s += step_s
 
 
