Keep groups of a drained data centre and give their stand-ins up after

Cause: groups that stood in for those of a drained data centre took the spare VMs of their domains for good, so that every later loss there waited for a load. Ruled out: the preloading itself; before the drain each loss cost 2 s. Now the drained groups stay loaded, serve at once when the data centre is back, and the stand-ins end, which frees the spares again.

--- a/src/sycamorespool/decisions/formations.py
+++ b/src/sycamorespool/decisions/formations.py
@@ -92,17 +92,21 @@
     config = view.state.config
     if all(place.in_service for place in config.data_centres.values()):
         return []
-    places = {vm.vm: vm.data_centre for vm in view.fleet}
+    places = map_places(view)
     return sorted(
         group.group_id
         for group in view.state.groups.values()
         if group.service == name
         and group.group_id not in view.state.successor_of
-        and group.members[0] in places
-        and not config.is_in_service(places[group.members[0]])
+        and not config.is_in_service(places.get(group.unit, ""))
     )
 
 
+def map_places(view: group_states.DomainView) -> dict[str, str]:
+    """Return the data centre of each fabric domain, by unit."""
+    return {f"domain/{vm.domain}": vm.data_centre for vm in view.fleet}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Position:
     """An opening for this domain, and how long it leaves it to others."""
--- a/src/sycamorespool/decisions/moves.py
+++ b/src/sycamorespool/decisions/moves.py
@@ -16,6 +16,8 @@
 
 REMOVED = "service removed"
 REPLACED = "another group took over"
+RETURNED = "the group that it stands in for is back"
+GONE = "no member is left"
 SURPLUS = "more groups than replicas"
 RESHAPED = "group size changed"
 OUT_OF_SERVICE = "data centre out of service"
@@ -23,7 +25,7 @@
 UPGRADING = "new model version"
 SLOW_MEMBER = "a member is slow"
 
-_ENDING = frozenset({REMOVED, REPLACED, SURPLUS, RESHAPED})
+_ENDING = frozenset({REMOVED, REPLACED, RETURNED, GONE, SURPLUS, RESHAPED})
 
 _SlotState = group_states.SlotState
 
@@ -92,6 +94,8 @@
         (len(group.members) != service.group_size, RESHAPED),
         (group_id in surplus, SURPLUS),
         (_is_taken_over(draft, group_id, is_make_first), REPLACED),
+        (_can_return(draft, group), RETURNED),
+        (_is_gone(draft, group), GONE),
         (not is_in, OUT_OF_SERVICE),
         (_SlotState.LEAVING in draft.slots[group_id], VM_LEAVING),
         (_is_reloading(draft, group_id), UPGRADING),
@@ -103,12 +107,34 @@
 def _is_taken_over(
     draft: group_plans.Draft, group_id: str, is_make_first: bool
 ) -> bool:
+    # A successor in another domain stands in while a data centre is out;
+    # the group itself stays loaded, to serve at once when it is back.
     successor = draft.view.state.successor_of.get(group_id)
-    if successor is None:
+    if successor not in draft.slots:
         return False
     return not is_make_first or _has_warmed(draft, successor)
 
 
+def _can_return(draft: group_plans.Draft, group: replay.Group) -> bool:
+    """Tell whether the group that this one stands in for serves again."""
+    view = draft.view
+    replaced = view.state.groups.get(group.replaces)
+    if replaced is None or replaced.unit == view.unit:
+        return False
+    if replaced.group_id not in view.warm:
+        return False
+    place = formations.map_places(view).get(replaced.unit, "")
+    return view.state.config.is_in_service(place)
+
+
+def _is_gone(draft: group_plans.Draft, group: replay.Group) -> bool:
+    vms = draft.view.vms
+    return all(
+        vm not in vms or (vms[vm].is_silent and not vms[vm].is_listed)
+        for vm in group.members
+    )
+
+
 def _has_warmed(draft: group_plans.Draft, group_id: str) -> bool:
     # A successor that gets no work cannot show that it is warm, so being
     # whole for long enough counts as well.
@@ -131,7 +157,7 @@
     view: group_states.DomainView, name: str, excess: int
 ) -> list[str]:
     config = view.state.config
-    places = {f"domain/{vm.domain}": vm.data_centre for vm in view.fleet}
+    places = formations.map_places(view)
     groups = view.state.groups
     names = [g for g in groups if groups[g].service == name]
     ranked = rendezvous.rank(name, names)
@@ -188,7 +214,7 @@
 
 
 def _is_handing_over(draft: group_plans.Draft) -> bool:
-    return any(draft.group(g).replaces for g in draft.slots)
+    return any(draft.group(g).replaces in draft.slots for g in draft.slots)
 
 
 def _form_successor(draft: group_plans.Draft, group_id: str) -> bool:
