Show that a frozen domain is regrouped without the rule for darkness

The test of a frozen domain passed with the rule switched off, since it woke the domain before its members counted as lost. It now waits until explain tells that they do, with two groups of two VMs.

--- a/src/sycamorespool/decisions/group_states.py
+++ b/src/sycamorespool/decisions/group_states.py
@@ -23,17 +23,6 @@
 LOST_AFTER_S = 1.0
 
 
-class VmCondition(enum.StrEnum):
-    """What the owner makes of one VM."""
-
-    FREE = "free"
-    RESERVED = "reserved"
-    MEMBER = "member"
-    QUARANTINED = "quarantined"
-    LEAVING = "leaving"
-    GONE = "gone"
-
-
 class SlotState(enum.StrEnum):
     """What holds at one rank of a group."""
 
@@ -293,6 +282,12 @@
     return is_out or evidence.vm.state == models.VmState.LEAVING
 
 
+def is_lost(view: DomainView, memory: Memory, vm: str) -> bool:
+    """Tell whether a VM has been silent for too long to wait for it."""
+    since_s = memory.health_of(vm).silent_since_s
+    return view.now_s - since_s >= LOST_AFTER_S
+
+
 def slot_states(
     view: DomainView, memory: Memory, group: replay.Group
 ) -> tuple[SlotState, ...]:
@@ -318,9 +313,9 @@
     if evidence is None:
         return SlotState.LOST
     if evidence.is_silent:
-        since_s = memory.health_of(vm).silent_since_s
-        is_lost = view.now_s - since_s >= LOST_AFTER_S
-        return SlotState.LOST if is_lost else SlotState.SILENT
+        if is_lost(view, memory, vm):
+            return SlotState.LOST
+        return SlotState.SILENT
     if is_leaving(view, vm):
         return SlotState.LEAVING
     if service is None or service.kind == "plain":
@@ -374,26 +369,3 @@
             return state
     is_warm = group_id in view.warm
     return GroupState.SERVING if is_warm else GroupState.WARMING
-
-
-def vm_condition(
-    view: DomainView, memory: Memory, vm: str, is_reserved: bool = False
-) -> VmCondition:
-    """Return what the owner makes of one VM."""
-    evidence = view.vms.get(vm)
-    health = memory.health_of(vm)
-    conditions = (
-        (evidence is None or evidence.is_silent, VmCondition.GONE),
-        (vm in view.state.group_of_vm, VmCondition.MEMBER),
-        (is_leaving(view, vm), VmCondition.LEAVING),
-        (
-            evidence is not None and not evidence.is_listed,
-            VmCondition.LEAVING,
-        ),
-        (view.now_s < health.quarantined_until_s, VmCondition.QUARANTINED),
-        (is_reserved, VmCondition.RESERVED),
-    )
-    return next(
-        (condition for holds, condition in conditions if holds),
-        VmCondition.FREE,
-    )
--- a/src/sycamorespool/decisions/groups.py
+++ b/src/sycamorespool/decisions/groups.py
@@ -119,7 +119,7 @@
     view: group_states.DomainView, memory: group_states.Memory, vm: str
 ) -> dict[str, str]:
     """Say why a VM is where it is."""
-    condition = group_states.vm_condition(view, memory, vm)
+    condition = vm_health.vm_condition(view, memory, vm)
     health = memory.health_of(vm)
     evidence = view.vms.get(vm)
     sent = memory.orders.get(vm)
@@ -131,6 +131,7 @@
         "weights": group_states.held_weights(evidence),
         "quarantined_for_s": f"{quarantine_s:.1f}",
         "flaps": str(health.flaps),
+        "is_lost": str(group_states.is_lost(view, memory, vm)).lower(),
         "is_slow": str(health.is_slow).lower(),
         "newest_order": type(sent.order).__name__ if sent else "",
     }
--- a/src/sycamorespool/decisions/vm_health.py
+++ b/src/sycamorespool/decisions/vm_health.py
@@ -5,6 +5,7 @@
 which lags.
 """
 
+import enum
 import math
 import statistics
 
@@ -23,6 +24,17 @@
 DARK_SETTLE_S = 5.0
 
 
+class VmCondition(enum.StrEnum):
+    """What the owner makes of one VM."""
+
+    FREE = "free"
+    RESERVED = "reserved"
+    MEMBER = "member"
+    QUARANTINED = "quarantined"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
 def observe(
     view: group_states.DomainView, memory: group_states.Memory
 ) -> None:
@@ -133,3 +145,29 @@
     silent = sum(evidence.is_silent for evidence in listed)
     if len(listed) > 1 and silent >= DARK_SHARE * len(listed):
         memory.dark_until_s = view.now_s + DARK_SETTLE_S
+
+
+def vm_condition(
+    view: group_states.DomainView,
+    memory: group_states.Memory,
+    vm: str,
+    is_reserved: bool = False,
+) -> VmCondition:
+    """Return what the owner makes of one VM."""
+    evidence = view.vms.get(vm)
+    health = memory.health_of(vm)
+    conditions = (
+        (evidence is None or evidence.is_silent, VmCondition.GONE),
+        (vm in view.state.group_of_vm, VmCondition.MEMBER),
+        (group_states.is_leaving(view, vm), VmCondition.LEAVING),
+        (
+            evidence is not None and not evidence.is_listed,
+            VmCondition.LEAVING,
+        ),
+        (view.now_s < health.quarantined_until_s, VmCondition.QUARANTINED),
+        (is_reserved, VmCondition.RESERVED),
+    )
+    return next(
+        (condition for holds, condition in conditions if holds),
+        VmCondition.FREE,
+    )
--- a/src/sycamorespool/operators/explain.py
+++ b/src/sycamorespool/operators/explain.py
@@ -102,6 +102,8 @@
 def _explain_health(view: View, vm: models.Vm) -> list[str]:
     found = view.own.explain_vm(f"domain/{vm.domain}", vm.vm, view.now_s)
     reasons = [f"the planner takes it as {found['condition']}"]
+    if found["is_lost"] == "true":
+        reasons.append("it is taken as lost")
     if found["weights"]:
         reasons.append(f"it holds the weights {found['weights']}")
     if found["condition"] == "quarantined":
--- a/tests/processes/test_groups.py
+++ b/tests/processes/test_groups.py
@@ -90,13 +90,12 @@
 class TestDarkDomain:
     def test_groups_of_a_frozen_domain_are_kept(self, run_deployed):
         async def scenario(deployment):
-            vms = ["v1", "v2", "v3"]
-            before = await start(deployment, {"f1": vms}, 1)
+            vms = ["v1", "v2", "v3", "v4"]
+            before = await start(deployment, {"f1": vms}, 2)
             send_all(deployment, vms, signal.SIGSTOP)
-            await wait_whole(deployment, 0)
-            await deployment.wait_for(lambda: is_gone(deployment, "v1"))
+            await deployment.wait_for(lambda: is_lost(deployment, "v1"))
             send_all(deployment, vms, signal.SIGCONT)
-            after = await wait_whole(deployment, 1)
+            after = await wait_whole(deployment, 2)
             assert {g: v["members"] for g, v in after.items()} == {
                 g: v["members"] for g, v in before.items()
             }
@@ -106,10 +105,10 @@
             for vm in vms:
                 deployment.processes[vm].popen.send_signal(number)
 
-        async def is_gone(deployment, vm):
+        async def is_lost(deployment, vm):
             path = f"/explain?name={vm}"
             found = await deployment.operate(ENTRY, "GET", path)
-            return "the planner takes it as gone" in found["reasons"]
+            return "it is taken as lost" in found["reasons"]
 
         run_deployed(scenario)
 
