--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -14,6 +14,7 @@
 MODULES = {
     "claimants": "benchmarks.claimants",
     "group_policy": "benchmarks.group_policy",
+    "keys": "benchmarks.keys",
     "relay": "benchmarks.relay",
     "retries": "benchmarks.retries",
     "shares": "benchmarks.shares",
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -9,6 +9,7 @@
 
 from sycamorespool import admission
 from sycamorespool.backend_servers import stream
+from sycamorespool.decisions import isolation
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import routing
 from sycamorespool import environment
@@ -234,6 +235,16 @@
         await _follow_failure(env, call, tries, cut)
 
 
+def _check_isolation(env: environment.Environment) -> None:
+    # A call may have waited for its place while the entry was cut off.
+    if not isolation.ALLOWANCES[env.mode].takes_work:
+        raise exceptions.NotRun(
+            "isolated",
+            "the entry is cut off and takes no work",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
 async def _try_once(
     env: environment.Environment,
     call: Call,
@@ -245,6 +256,7 @@
     began_s = trio.current_time()
     try:
         async with gate.place(env.held, tries.wish) as grant:
+            _check_isolation(env)
             wait_s = trio.current_time() - began_s
             env.metrics.observe(
                 "queue_wait_s", wait_s, call.workspace, call.priority
--- a/src/sycamorespool/fleet.py
+++ b/src/sycamorespool/fleet.py
@@ -1,19 +1,69 @@
-"""Loops that keep an entry's view of the fleet: log, membership, claims."""
+"""Loops that keep an entry's view of the fleet: log and membership."""
 
-from absl import logging
+import math
+import time
+
+import msgspec
 import trio
 
-from sycamorespool.decisions import rendezvous
+from sycamorespool.decisions import isolation
 from sycamorespool.decisions import replay
+from sycamorespool.decisions import snapshots
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import leases
+from sycamorespool import logs
 from sycamorespool.platform import membership
 from sycamorespool import records
 
 LOG_WAIT_S = 0.5
 LOG_RETRY_S = 0.2
 MEMBERSHIP_PERIOD_S = 0.5
-CLAIM_PERIOD_S = 0.25
+SNAPSHOT_PERIOD_S = 5.0
+
+log = logs.make_logger("log")
+
+
+def set_mode(env: environment.Environment, mode: isolation.Mode) -> None:
+    """Set how this entry stands to the log, and whether it takes work.
+
+    An entry takes none before it has a state.
+    """
+    if mode is not env.mode:
+        log.warning("mode changed", state=mode, offset=env.fleet.offset)
+    env.mode = mode
+    takes_work = isolation.ALLOWANCES[mode].takes_work
+    has_state = env.fleet.offset >= 0 or math.isfinite(env.log_read_s)
+    env.is_ready = takes_work and has_state and not env.is_stopping
+
+
+def replace_state(
+    env: environment.Environment, state: replay.FleetState
+) -> None:
+    """Go on from another state, which is newer than the own one."""
+    env.fleet = state
+    env.recent.clear()
+    env.announce_change()
+
+
+def _lighten(entry: records.LogEntry) -> records.LogEntry:
+    # For a peer that follows, a snapshot is no more than its mark.
+    if not isinstance(entry.record, records.Snapshot):
+        return entry
+    record = msgspec.structs.replace(entry.record, state={})
+    return records.LogEntry(entry.offset, record)
+
+
+def take_entries(
+    env: environment.Environment, entries: tuple[records.LogEntry, ...]
+) -> None:
+    """Apply records that follow those applied, and wake who waits."""
+    new = [entry for entry in entries if entry.offset > env.fleet.offset]
+    for entry in new:
+        replay.apply(env.fleet, entry.offset, entry.record)
+    env.recent.extend(map(_lighten, new))
+    if new:
+        env.announce_change()
 
 
 async def follow_log(env: environment.Environment) -> None:
@@ -24,18 +74,73 @@
             page = await env.log.read(
                 records.FLEET_STREAM, env.fleet.offset + 1, LOG_WAIT_S
             )
+            take_entries(env, page.entries)
+        except exceptions.RecordsExpired as error:
+            await _start_from_snapshot(env, error.first_offset)
+            continue
         except exceptions.PlatformError as error:
-            logging.warning("log: read failed error=%s", error)
+            log.warning("read failed", error=error)
             env.metrics.count("log_reads_failed")
             await trio.sleep(LOG_RETRY_S)
             continue
-        for entry in page.entries:
-            replay.apply(env.fleet, entry.offset, entry.record)
         if env.fleet.offset + 1 >= page.head:
-            env.log_read_s = started_s
-            env.is_ready = not env.is_stopping
-        if page.entries:
-            env.announce_change()
+            leases.note_read(env, started_s)
+            set_mode(env, isolation.Mode.NORMAL)
+
+
+async def _read_all(
+    env: environment.Environment, first: int
+) -> list[records.LogEntry]:
+    entries: list[records.LogEntry] = []
+    head = first + 1
+    while first < head:
+        page = await env.log.read(records.FLEET_STREAM, first)
+        entries += page.entries
+        head = page.head
+        first = entries[-1].offset + 1 if page.entries else head
+    return entries
+
+
+async def _start_from_snapshot(
+    env: environment.Environment, first: int
+) -> None:
+    """Take the newest snapshot that the log keeps, and what follows it."""
+    try:
+        entries = await _read_all(env, first)
+        state = snapshots.replay_log(first, entries, env.fleet)
+    except (exceptions.PlatformError, exceptions.ReplayError) as error:
+        log.warning("no usable snapshot", offset=first, error=error)
+        await trio.sleep(LOG_RETRY_S)
+        return
+    replace_state(env, state)
+    log.info("started from a snapshot", offset=state.snapshot.as_of)
+
+
+async def write_snapshots(env: environment.Environment) -> None:
+    """Append a snapshot when one is due and it is this entry's turn."""
+    follower = snapshots.Follower(
+        env.name, env.settings.platform.log_retention_s, time.time()
+    )
+    while True:
+        await trio.sleep(SNAPSHOT_PERIOD_S)
+        now_unix_s = time.time()
+        is_due = snapshots.is_snapshot_due(
+            env.fleet, follower, env.entries(), now_unix_s
+        )
+        if is_due and leases.is_settled(env):
+            await _append_snapshot(env, now_unix_s)
+
+
+async def _append_snapshot(
+    env: environment.Environment, now_unix_s: float
+) -> None:
+    snapshot = snapshots.make_snapshot(env.fleet, now_unix_s)
+    log.info("appending a snapshot", offset=snapshot.as_of)
+    try:
+        await env.log.append(records.FLEET_STREAM, [snapshot])
+    except exceptions.PlatformError as error:
+        log.warning("snapshot not appended", error=error)
+        await trio.sleep(snapshots.TURN_S)
 
 
 async def follow_membership(env: environment.Environment) -> None:
@@ -46,42 +151,5 @@
                 env.pool, env.settings.platform.address
             )
         except exceptions.PlatformError as error:
-            logging.warning("membership: list not read error=%s", error)
+            log.warning("membership list not read", error=error)
         await trio.sleep(MEMBERSHIP_PERIOD_S)
-
-
-async def claim_units(env: environment.Environment) -> None:
-    """Claim the units that rendezvous hashing gives to this entry."""
-    while True:
-        await trio.sleep(CLAIM_PERIOD_S)
-        names = set(env.entries())
-        if env.name not in names or env.is_stopping:
-            continue
-        for domain in env.domains():
-            unit = f"domain/{domain}"
-            if rendezvous.choose(unit, names) == env.name:
-                await _claim(env, unit)
-
-
-async def _claim(env: environment.Environment, unit: str) -> None:
-    owner = env.fleet.owners.get(unit)
-    if owner and (owner.entry, owner.incarnation) == (
-        env.name,
-        env.incarnation,
-    ):
-        return
-    claim = records.OwnershipClaim(
-        environment.make_id(),
-        unit,
-        env.name,
-        env.incarnation,
-        env.fleet.epoch_of(unit),
-    )
-    changed = env.fleet_changed
-    try:
-        await env.log.append(records.FLEET_STREAM, [claim])
-    except exceptions.PlatformError as error:
-        logging.warning("ownership: claim failed unit=%s %s", unit, error)
-        return
-    with trio.move_on_after(LOG_WAIT_S):
-        await changed.wait()
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -10,6 +10,7 @@
 from sycamorespool.decisions import grants
 from sycamorespool.decisions import mandates
 from sycamorespool.decisions import ramps
+from sycamorespool import leases
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import peer_watch
@@ -56,7 +57,7 @@
     return mandates.Standing(
         env.name,
         record.entry,
-        may_act=grantor.owner.owns(unit) and unread_s < LEASE_S,
+        may_act=leases.may_act(env, unit),
         log_unread_s=unread_s,
         sound_s=_tell_sound_s(grantor, now_s),
         is_predecessor_settled=predecessor is not fleet.Predecessor.ACTIVE,
--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -8,9 +8,11 @@
 
 from sycamorespool.backend_servers import control
 from sycamorespool.decisions import group_plans
+from sycamorespool.decisions import group_states
 from sycamorespool.decisions import groups
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import leases
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import records
@@ -18,7 +20,6 @@
 PROBE_PERIOD_S = 0.5
 PLAN_PERIOD_S = 0.5
 PLAN_PAUSE_S = 0.05
-LEASE_S = 3.0
 CACHE_MOVE_TIMEOUT_S = 2.0
 
 
@@ -120,6 +121,10 @@
     if not batch:
         return
     env = control_.env
+    memory = control_.owner.memory_of(unit)
+    if not leases.may_act(env, unit):
+        _forget(memory, batch)
+        return
     try:
         await env.log.append(records.FLEET_STREAM, list(batch.values()))
     except exceptions.OutcomeLost as error:
@@ -130,9 +135,12 @@
     except exceptions.PlatformError as error:
         logging.warning("groups: append failed unit=%s %s", unit, error)
         env.metrics.count("log_appends_failed")
-        memory = control_.owner.memory_of(unit)
-        for record_id in batch:
-            groups.forget_record(memory, record_id)
+        _forget(memory, batch)
+
+
+def _forget(memory: group_states.Memory, batch: abc.Iterable[str]) -> None:
+    for record_id in batch:
+        groups.forget_record(memory, record_id)
 
 
 async def _send(
@@ -142,14 +150,10 @@
 
 
 def _may_send(control_: GroupControl, unit: str) -> bool:
-    # Engines that refuse old epochs may be ordered on while the log is out;
-    # the others only as long as no other owner can have taken over.
-    env = control_.env
-    if not control_.owner.owns(unit):
-        return False
-    services = env.fleet.config.services.values()
+    services = control_.env.fleet.config.services.values()
     is_checked = all(s.fencing == "checked" for s in services)
-    return is_checked or trio.current_time() - env.log_read_s < LEASE_S
+    fencing = "checked" if is_checked else "ignored"
+    return leases.may_order(control_.env, unit, fencing)
 
 
 async def _send_order(
