--- a/benchmarks/group_faults.py
+++ b/benchmarks/group_faults.py
@@ -176,11 +176,19 @@
     def _fall(self, vm: vm_model.ModelVm, down_s: float, **how: bool) -> None:
         if not vm.is_up:
             return
-        self.tally.hits += vm.vm.vm in self.fleet.state.group_of_vm
+        self.tally.hits += self._hits_group(vm)
         vm.fall(self.now_s, **how)
         self.touch(vm)
         self.at(self.now_s + down_s, _bind(self._rise, vm))
 
+    def _hits_group(self, vm: vm_model.ModelVm) -> bool:
+        """Tell whether a whole group in service loses its first member."""
+        state = self.fleet.state
+        group = state.groups.get(state.group_of_vm.get(vm.vm.vm, ""))
+        if group is None or vm.vm.data_centre in self.drained:
+            return False
+        return self.fleet.is_complete(group)
+
     def _rise(self, vm: vm_model.ModelVm) -> None:
         vm.is_up = True
         vm.vm = _with_state(vm.vm, models.VmState.LIVE)
@@ -204,10 +212,10 @@
 
     def _cool(self, name: str, _: float) -> None:
         vm = self.fleet.vms[name]
+        self.tally.hits += self._hits_group(vm)
         vm.incarnation += 1
         vm.clear()
         vm.epoch = -1
-        self.tally.hits += name in self.fleet.state.group_of_vm
         self.touch(vm)
 
     def _lose_rack(self, domain: str, _: float) -> None:
--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -49,8 +49,6 @@
 
     def list_units(self) -> list[str]:
         """Return the units of fabric domains that this process owns."""
-        if self.env.is_stopping:
-            return []
         units = [f"domain/{domain}" for domain in self.env.domains()]
         return [unit for unit in units if self.owner.owns(unit)]
 
@@ -96,7 +94,9 @@
         with trio.move_on_after(PLAN_PERIOD_S):
             await own.changed.wait()
         own.changed = trio.Event()
-        for unit in control_.list_units():
+        # A stopping owner still probes, since its grants rest on that.
+        units = [] if own.env.is_stopping else control_.list_units()
+        for unit in units:
             await _plan(control_, unit)
         await trio.sleep(PLAN_PAUSE_S)
 
