--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -16,6 +16,7 @@
 from sycamorespool import gauges
 from sycamorespool import grant_user
 from sycamorespool import grantor
+from sycamorespool import group_control
 from sycamorespool import key_keeper
 from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
@@ -104,7 +105,7 @@
             env,
             functools.partial(claims.list_live, env, watch.state),
         )
-        nursery.start_soon(owner.run, own)
+        nursery.start_soon(group_control.run, own)
         nursery.start_soon(peer_watch.run, watch)
         nursery.start_soon(peer_log.run, followed)
         nursery.start_soon(grantor.run, granter)
