--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,12 +13,16 @@
 RESULTS_PATH = pathlib.Path("build/benchmarks.json")
 MODULES = {
     "claimants": "benchmarks.claimants",
+    "fleet": "benchmarks.fleet",
+    "grants": "benchmarks.grants",
     "group_policy": "benchmarks.group_policy",
     "keys": "benchmarks.keys",
+    "membership": "benchmarks.membership",
+    "peers": "benchmarks.peers",
     "relay": "benchmarks.relay",
+    "replay": "benchmarks.replay",
     "retries": "benchmarks.retries",
     "shares": "benchmarks.shares",
-    "replay": "benchmarks.replay",
 }
 
 
--- a/examples/processes.py
+++ b/examples/processes.py
@@ -83,6 +83,7 @@
         self,
         load_s: float = 0.3,
         token_s: float = 0.01,
+        ping_period_s: float = 1.0,
         program: tuple[str, ...] = FROM_SOURCE,
         variables: abc.Mapping[str, str] | None = None,
     ) -> None:
@@ -92,6 +93,7 @@
         self._platform = find_free_address()
         self._load_s = load_s
         self._token_s = token_s
+        self._ping_period_s = ping_period_s
         self._program = program
         search = {"PYTHONPATH": os.pathsep.join(sys.path)}
         self._variables = variables or {**os.environ, **search}
@@ -242,6 +244,8 @@
             platform=platform or self._platform,
             **listen,
         )
+        pace = f"[peers]\nping_period_s = {self._ping_period_s}"
+        text = text.replace("[peers]", pace)
         path = self._write_settings(name, text)
         process = self._start(
             name, data_centre, listen["callers"], "entry", path
--- a/src/sycamorespool/gauges.py
+++ b/src/sycamorespool/gauges.py
@@ -26,6 +26,7 @@
         self._set_entry(now_s)
         self._set_ownership()
         self._set_decline(now_s)
+        self._set_quarantine(now_s)
         self._set_shares()
 
     def _set_entry(self, now_s: float) -> None:
@@ -92,6 +93,17 @@
             env.metrics.set("groups_serving", serving, name)
             env.metrics.set("below_capacity_age_s", age_s, name)
 
+    def _set_quarantine(self, now_s: float) -> None:
+        until_s = {
+            vm: health.quarantined_until_s
+            for unit, memory in self.own.memories.items()
+            if self.own.owns(unit)
+            for vm, health in memory.health.items()
+        }
+        count, age_s = decline.find_quarantine_age(self.state, until_s, now_s)
+        self.env.metrics.set("vms_quarantined", count)
+        self.env.metrics.set("quarantine_age_max_s", age_s)
+
     def _set_shares(self) -> None:
         env = self.env
         for service, due in env.admission.local.items():
