--- a/src/sycamorespool/entries/messages.py
+++ b/src/sycamorespool/entries/messages.py
@@ -30,15 +30,6 @@
     answer: models.GrantAnswer
 
 
-class GrantsWithdrawn(
-    msgspec.Struct, frozen=True, array_like=True, tag="grants_withdrawn"
-):
-    """The owner tells holders to ask again before they send new work."""
-
-    unit: str
-    group_ids: tuple[str, ...]
-
-
 class RecordsWanted(
     msgspec.Struct, frozen=True, array_like=True, tag="records_wanted"
 ):
@@ -186,7 +177,6 @@
     | pings.Ack
     | GrantsWanted
     | GrantsGiven
-    | GrantsWithdrawn
     | RecordsWanted
     | RecordsGiven
     | SnapshotWanted
