--- a/src/sycamorespool/grant_user.py
+++ b/src/sycamorespool/grant_user.py
@@ -83,6 +83,7 @@
         async with trio.open_nursery() as nursery:
             for unit, wanted in units.items():
                 nursery.start_soon(_ask_unit, user, unit, wanted)
+        grant_book.drop_expired(held.book, trio.current_time())
         held.shortage = trio.Event()
         await trio.sleep(ASK_MIN_GAP_S)
         with trio.move_on_after(_tell_period_s(len(units)) - ASK_MIN_GAP_S):
