--- a/tests/callers/harness.py
+++ b/tests/callers/harness.py
@@ -21,7 +21,7 @@
 from sycamorespool import sockets
 
 KEY = "caller-key"
-QUIET_S = 0.03
+QUIET_S = 0.01
 TTL_S = 1e9
 LIMITS = settings.LimitsSection(
     queue_timeout_s=0.5, max_head_bytes=8192, max_body_bytes=65536
