--- a/src/sycamorespool/decisions/groups.py
+++ b/src/sycamorespool/decisions/groups.py
@@ -20,6 +20,7 @@
 from sycamorespool.decisions import moves
 from sycamorespool.decisions import repairs
 from sycamorespool.decisions import vm_health
+from sycamorespool import models
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,10 +92,12 @@
     memory.pending.discard(record_id)
 
 
-def note_answer(memory: group_states.Memory, vm: str) -> None:
-    """Note that a VM answered its newest order, so that it has landed."""
+def note_answer(
+    memory: group_states.Memory, vm: str, order: models.Order
+) -> None:
+    """Note that a VM answered an order, so that it has landed."""
     sent = memory.orders.get(vm)
-    if sent is not None:
+    if sent is not None and sent.order == order:
         sent.has_landed = True
 
 
@@ -116,7 +119,7 @@
     view: group_states.DomainView, memory: group_states.Memory, vm: str
 ) -> dict[str, str]:
     """Say why a VM is where it is."""
-    condition = group_states.vm_condition(view, memory, vm)
+    condition = vm_health.vm_condition(view, memory, vm)
     health = memory.health_of(vm)
     evidence = view.vms.get(vm)
     sent = memory.orders.get(vm)
@@ -128,6 +131,7 @@
         "weights": group_states.held_weights(evidence),
         "quarantined_for_s": f"{quarantine_s:.1f}",
         "flaps": str(health.flaps),
+        "is_lost": str(group_states.is_lost(view, memory, vm)).lower(),
         "is_slow": str(health.is_slow).lower(),
         "newest_order": type(sent.order).__name__ if sent else "",
     }
