--- a/tests/decisions/test_groups.py
+++ b/tests/decisions/test_groups.py
@@ -296,6 +296,18 @@
         clock.run(1)
         assert clock.serving("s") == before
 
+    def test_stand_ins_end_when_the_data_centre_is_back(self):
+        clock = Clock(make_fleet(vms=10, replicas=8))
+        clock.run(60)
+        before = clock.serving("s")
+        drain(clock, "a-0-0")
+        clock.run(60)
+        assert clock.serving("s") - before
+        heal(clock)
+        clock.run(60)
+        assert clock.serving("s") == before
+        assert len(clock.fleet.state.groups) == 10
+
     def test_leaving_member_is_swapped_when_no_request_is_left(self):
         clock = Clock(make_fleet(vms=9, replicas=8))
         clock.run(60)
