--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -288,6 +288,8 @@
             nursery.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        if not passed.is_whole:
+            raise asgi.CallerGone
 
     async def _run_keyed(
         self, call: dispatch.Call, passed: relay.Relay
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -86,7 +86,10 @@
         environment.make_id(),
         may_reuse=call.is_idempotent,
     )
-    idle_s = env.settings.limits.idle_timeout_s
+    limits = env.settings.limits
+    # An engine is silent until a completion that is not streamed is whole.
+    is_silent = call.is_completion and not call.is_stream
+    idle_s = limits.request_timeout_s if is_silent else limits.idle_timeout_s
     async with stream.open_request(
         env.links, outgoing, idle_s, end_s
     ) as answer:
@@ -213,6 +216,8 @@
         raise
     except exceptions.OutcomeUnknown as error:
         trace.change("outcome_unknown", error.code)
+        if passed.is_begun:
+            env.metrics.count("requests_cut", call.workspace, call.priority)
         raise
     except BaseException:
         trace.change("cut")
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -11,15 +11,17 @@
 from sycamorespool.decisions import mandates
 from sycamorespool.decisions import ramps
 from sycamorespool import leases
+from sycamorespool import logs
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import peer_watch
 
-LEASE_S = 3.0
 SOUND_LOG_S = 2.0
 PAUSE_S = 2.0
 WATCH_PERIOD_S = 0.5
 
+log = logs.make_logger("grants")
+
 
 @dataclasses.dataclass(slots=True)
 class Grantor:
@@ -37,6 +39,8 @@
         Since when the log was read and half of the entries were heard.
     watched_s : float
         When that was last checked.
+    noted : dict
+        The last mandate by unit, for the log.
     """
 
     owner: owner.Owner
@@ -46,6 +50,9 @@
     )
     sound_since_s: float | None = None
     watched_s: float = -math.inf
+    noted: dict[str, mandates.Mandate | None] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def _make_standing(
@@ -120,7 +127,18 @@
     now_s = trio.current_time()
     standing = _make_standing(grantor, unit, record, now_s)
     settle_s = peer_watch.settle_s(grantor.watch)
-    return mandates.decide(unit, standing, LEASE_S, settle_s)
+    lease_s = grantor.owner.env.lease.timing.lease_s
+    mandate = mandates.decide(unit, standing, lease_s, settle_s)
+    if mandate != grantor.noted.get(unit):
+        grantor.noted[unit] = mandate
+        log.info("mandate changed", unit=unit, state=_describe(mandate))
+    return mandate
+
+
+def _describe(mandate: mandates.Mandate | None) -> str:
+    if mandate is None:
+        return "none"
+    return f"1/{2**mandate.halvings}"
 
 
 def _find_ledger(
@@ -133,8 +151,6 @@
             and record.predecessor is fleet.Predecessor.NONE
         )
         ledger = grant_ledger.open_ledger(unit, now_s, not is_first)
-        if record.predecessor is fleet.Predecessor.ACTIVE:
-            ledger.opens_s += LEASE_S * (1 + grant_ledger.DRIFT_RATIO)
         grantor.ledgers[unit] = (record.epoch, ledger)
     return ledger
 
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -101,9 +101,18 @@
 
 
 class PeersSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The protocol between entries."""
+    """The protocol between entries.
+
+    Parameters
+    ----------
+    shared_key : str
+        The key that authenticates messages, the same at every entry.
+    ping_period_s : float
+        Time between two pings of an entry, the same at every entry.
+    """
 
     shared_key: Secret
+    ping_period_s: Seconds = 1.0
 
 
 class OperatorsSection(
@@ -175,7 +184,7 @@
     appends_per_s: Rate = 150.0
     window_s: Seconds = 86400.0
     log_retention_s: Seconds = 86400.0
-    repeat_wait_s: Seconds = 10.0
+    repeat_wait_s: Seconds = 5.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
