Take a group as cold when another VM takes a rank

The ramp compared start numbers alone, which are the same for a spare that takes the rank of a lost VM, so that its group kept the warm limit. This was found by reading; the demo, whose streams are cut since the planner runs in the daemon, still fails with it.

--- a/src/sycamorespool/decisions/ramps.py
+++ b/src/sycamorespool/decisions/ramps.py
@@ -48,6 +48,7 @@
     completed: int
     interval_s: float
     cached_blocks: int = -1
+    vms: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,11 +86,14 @@
         max((report.completed for report in ordered), default=0),
         max((report.token_interval_s for report in ordered), default=0.0),
         min((report.cached_blocks for report in ordered), default=-1),
+        vms=tuple(report.vm for report in ordered),
     )
 
 
 def _is_restarted(ramp: Ramp, load: Load) -> bool:
-    return load.incarnations != ramp.load.incarnations
+    # A VM that took a rank may have the start number of the one before.
+    before = ramp.load
+    return (load.vms, load.incarnations) != (before.vms, before.incarnations)
 
 
 def _is_counter_reset(ramp: Ramp, load: Load) -> bool:
