Raise a cold group's limit only after warm_after completed requests

Cause: the demo failed after the planner was wired in, with streams cut and up to 310 refusals. Engines' own counts showed it: three of them fell over, two twice. The ramp doubled a fresh group's limit from 2 to 4 after four completed requests, but work done under the cold limit does not show that more can be borne; a stand-in bears 2 until it has completed 8. Faster probes had made the ramp fast enough to hit that.

Ruled out: the drains and the epochs of the planner (falls came before the first drain), the dispatcher's retries (its cuts were the falls). Operators now say by warm_after how much work warms a replica; until then the cold limit holds. The test of the ramp expects the later rise, and a new one that no work under the cold limit raises it; the demo now fails if an engine fell over.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,8 +1,8 @@
 """Show the whole path: a small deployment served, disturbed and checked.
 
 Run it by ``make demo``.  It prints each step, ends with ``demo: ok`` and
-exit code 0 only if every answer was whole, each charge ran once and the
-data centre taken out got no new work after 5 s.
+exit code 0 only if every answer was whole, each charge ran once, no engine
+fell over and the data centre taken out got no new work after 5 s.
 """
 
 import collections
@@ -337,6 +337,16 @@
     say(f"charges answered {sum(tally.charges.values())}, run {dict(runs)}")
 
 
+async def check_falls(deployment: processes.Deployment, tally: Tally) -> None:
+    """Check that no engine got more load than it could bear."""
+    for process in deployment.processes.values():
+        is_engine = process.name.split("-")[0] in DATA_CENTRES
+        if is_engine and process.popen.poll() is None:
+            counts = await deployment.get(f"{process.address}/counts")
+            if counts["falls"]:
+                tally.faults.append(f"{process.name} fell over under load")
+
+
 def report(tally: Tally) -> None:
     """Print what was served, refused, down and stranded over the run."""
     say(f"served {dict(tally.served)}")
@@ -377,6 +387,7 @@
             say(f"{GROUPS} groups serve again")
             await replace_entry(deployment, tally, entries)
             stop.set()
+        await check_falls(deployment, tally)
         report(tally)
         nursery.cancel_scope.cancel()
     for fault in tally.faults:
--- a/src/sycamorespool/configuration.py
+++ b/src/sycamorespool/configuration.py
@@ -65,6 +65,9 @@
         The weights to load.
     cold_limit, warm_limit : int
         Requests in flight that a fresh and a warmed replica can bear.
+    warm_after : int
+        Requests that a fresh replica completes before it may get more
+        than ``cold_limit``.
     fencing : {"checked", "ignored"}
         Whether the backend servers refuse orders with an old epoch.
     routes : tuple of Route
@@ -78,6 +81,7 @@
     version: str = "1"
     cold_limit: int = 1
     warm_limit: int = 16
+    warm_after: int = 8
     fencing: t.Literal["checked", "ignored"] = "checked"
     routes: tuple[Route, ...] = ()
 
@@ -120,6 +124,7 @@
         (service.group_size >= 1, "group_size must be at least 1"),
         (service.replicas >= 0, "replicas must not be negative"),
         (service.cold_limit >= 1, "cold_limit must be at least 1"),
+        (service.warm_after >= 0, "warm_after must not be negative"),
         (
             service.warm_limit >= service.cold_limit,
             "warm_limit must not be under cold_limit",
--- a/src/sycamorespool/decisions/ramps.py
+++ b/src/sycamorespool/decisions/ramps.py
@@ -1,8 +1,10 @@
 """How many requests a group can bear, judged on evidence.
 
-A fresh group starts at the service's ``cold_limit``.  The limit doubles
-each time the group has completed enough work at normal latency, up to
-``warm_limit``, and falls back at once when the group turns cold::
+A fresh group stays at the service's ``cold_limit`` until it has completed
+``warm_after`` requests: work done under the cold limit does not show that
+more can be borne.  Then the limit doubles each time the group has completed
+enough work at normal latency, up to ``warm_limit``, and falls back at once
+when the group turns cold::
 
     ramp = observe(None, service, reports)
     ramp = observe(ramp, service, later_reports)
@@ -67,6 +69,8 @@
         Smoothed time between tokens, 0 before the first.
     reason : str
         Why the limit last fell.
+    completed_cold : int
+        Requests completed when the group last turned cold.
     """
 
     limit: int
@@ -74,6 +78,7 @@
     completed: int
     normal_s: float = 0.0
     reason: str = ""
+    completed_cold: int = 0
 
 
 def summarise(reports: t.Sequence[models.ProbeReport]) -> Load:
@@ -170,7 +175,12 @@
             # for a normal one after its fall.
             normal_s = ramp.normal_s if load.interval_s else 0.0
             return Ramp(
-                service.cold_limit, load, load.completed, normal_s, reason
+                service.cold_limit,
+                load,
+                load.completed,
+                normal_s,
+                reason,
+                load.completed,
             )
     limit = min(max(ramp.limit, service.cold_limit), service.warm_limit)
     completed = ramp.completed
@@ -179,8 +189,15 @@
     elif (
         may_ramp
         and limit < service.warm_limit
+        and load.completed - ramp.completed_cold >= service.warm_after
         and load.completed - completed >= limit * COMPLETED_PER_PLACE
     ):
         limit = min(limit * GROWTH, service.warm_limit)
         completed = load.completed
-    return Ramp(limit, load, completed, _smooth(ramp, load), ramp.reason)
+    return dataclasses.replace(
+        ramp,
+        limit=limit,
+        load=load,
+        completed=completed,
+        normal_s=_smooth(ramp, load),
+    )
--- a/tests/decisions/test_ramps.py
+++ b/tests/decisions/test_ramps.py
@@ -14,7 +14,14 @@
             load = samples.make_load(completed=completed)
             ramp = ramps.observe(ramp, samples.SERVICE, load)
             limits.append(ramp.limit)
-        assert limits == [2, 2, 4, 4, 8, 16]
+        assert limits == [2, 2, 2, 2, 4, 8]
+
+    def test_work_under_the_cold_limit_is_no_evidence_for_more(self):
+        ramp = ramps.observe(None, samples.SERVICE, samples.make_load())
+        for completed in range(samples.SERVICE.warm_after):
+            load = samples.make_load(completed=completed)
+            ramp = ramps.observe(ramp, samples.SERVICE, load)
+            assert ramp.limit == samples.SERVICE.cold_limit
 
     def test_slow_work_is_no_evidence(self):
         ramp = ramps.observe(None, samples.SERVICE, samples.make_load())
