Assert the promises inside the running entry

Cause: the invariants had names and no caller, so a promise that did not hold would have gone unseen in production. Grants, replayed records, a state taken from elsewhere, orders, refusals, streams and the stop are now checked against the state, worked out anew; a grant, state, order or refusal that fails is not given.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -143,7 +143,7 @@
     for name in names:
         status = await deployment.operate(name, "GET", "/status")
         counted = status.get("peers", {})
-        size_bytes += counted.get("bytes", 0)
+        size_bytes += counted.get("size_bytes", 0)
         messages += counted.get("messages", 0)
     return size_bytes, messages
 
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -63,7 +63,8 @@
     handlers: transport.Handlers = {type(message): handle}
     calls = FRESH_CALLS if is_fresh else CALLS
     async with trio.open_nursery() as nursery:
-        await nursery.start(transport.serve, address, callee, handlers)
+        served = transport.Transport(callee)
+        await nursery.start(transport.serve, address, served, handlers)
         peer = transport.Transport(caller)
         await peer.call(address, message)
         began_s, began_cpu_s = time.perf_counter(), time.process_time()
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -277,11 +277,7 @@
             falls = counts["falls"] - soak.expected_falls[name]
             if falls > 0:
                 tally.faults.append(f"{name} fell over {falls} times")
-        elif name in soak.entries:
-            status = await deployment.operate(name, "GET", "/status")
-            violations = status.get("invariants", {})
-            if any(violations.values()):
-                tally.faults.append(f"{name} violations {violations}")
+    await demo.check_invariants(deployment, tally, soak.entries)
     demo.check_charges(tally, runs)
 
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -2,7 +2,8 @@
 
 Run it by ``make demo``.  It prints each step, ends with ``demo: ok`` and
 exit code 0 only if every answer was whole, each charge ran once, no engine
-fell over and the data centre taken out got no new work after 5 s.
+fell over, no entry counted a promise that did not hold, and the data centre
+taken out got no new work after 5 s.
 """
 
 import collections
@@ -347,6 +348,19 @@
                 tally.faults.append(f"{process.name} fell over under load")
 
 
+async def check_invariants(
+    deployment: processes.Deployment, tally: Tally, entries: list[str]
+) -> None:
+    """Check that the entries counted no promise that did not hold."""
+    for name in entries:
+        status = await deployment.operate(name, "GET", "/status")
+        tally.faults += [
+            f"{name} counted {series} {times} times"
+            for series, times in status["metrics"]["counters"].items()
+            if series.startswith("invariants_violated")
+        ]
+
+
 def report(tally: Tally) -> None:
     """Print what was served, refused, down and stranded over the run."""
     say(f"served {dict(tally.served)}")
@@ -388,6 +402,7 @@
             await replace_entry(deployment, tally, entries)
             stop.set()
         await check_falls(deployment, tally)
+        await check_invariants(deployment, tally, entries)
         report(tally)
         nursery.cancel_scope.cancel()
     for fault in tally.faults:
--- a/examples/processes.py
+++ b/examples/processes.py
@@ -198,10 +198,9 @@
             addresses[0],
             "standin",
             "engines",
-            f"--vms={','.join(vms)},",
-            f"--listen={','.join(addresses)},",
+            f"--vms={','.join(vms)}",
+            f"--listen={','.join(addresses)}",
             f"--platform_address={self._platform}",
-            f"--token_s={self._token_s}",
         )
         for vm, address in zip(vms, addresses, strict=True):
             await self.put_vm(vm, "engine", address, data_centre, domain)
--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -80,6 +80,27 @@
 
         return command_words.Task(run)
 
+    @command_words.command
+    def engines(
+        self, *, vms: str, listen: str, platform_address: str
+    ) -> command_words.Task:
+        """Serve several stand-in model engines in one process.
+
+        ``vms`` and ``listen`` are lists of equal length, with commas.
+        """
+
+        def run() -> None:
+            started = int(time.time() * 1000)
+            standins = {
+                address: engine.Engine(vm, started, platform_address)
+                for vm, address in zip(
+                    vms.split(","), listen.split(","), strict=True
+                )
+            }
+            trio.run(_run_until_signal, engine.serve_many, standins)
+
+        return command_words.Task(run)
+
     @command_words.command
     def service(self, *, vm: str, listen: str) -> command_words.Task:
         """Serve a stand-in plain service."""
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -17,6 +17,7 @@
 from sycamorespool import grant_user
 from sycamorespool import grantor
 from sycamorespool import group_control
+from sycamorespool import invariants
 from sycamorespool import key_keeper
 from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
@@ -77,6 +78,9 @@
     with trio.move_on_after(env.settings.limits.drain_timeout_s):
         await env.wait_until_idle()
         await keyed.wait_until_reported()
+    invariants.check(
+        "graceful_stop", not env.requests_open, f"open={env.requests_open}"
+    )
     stop.set()
 
 
@@ -118,7 +122,7 @@
         await nursery.start(
             transport.serve,
             listen.peers,
-            env.transport.codec,
+            env.transport,
             _make_peer_handlers(own, watch, user, followed, keeper, exchange),
         )
         operators = api.make_app(env, own, keeper)
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -9,11 +9,13 @@
 
 from sycamorespool import admission
 from sycamorespool.backend_servers import stream
+from sycamorespool import checks
 from sycamorespool.decisions import isolation
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import invariants
 from sycamorespool import journal
 from sycamorespool import models
 from sycamorespool import relay
@@ -128,10 +130,14 @@
     wish: admission.Wish
     trace: journal.Trace
     error: exceptions.RequestError | None = None
+    cuts: list[retries.Cut] = dataclasses.field(default_factory=list)
 
     def fail(self) -> exceptions.RequestError:
         """Return the true answer if no attempt follows."""
-        if self.state.may_have_run:
+        is_unrun = not self.state.may_have_run and checks.check_not_run(
+            self.cuts, self.wish.request_id
+        )
+        if not is_unrun:
             return exceptions.OutcomeUnknown(
                 "answer_lost", "the answer of the replica was lost"
             )
@@ -288,8 +294,14 @@
     except exceptions.BackendError as error:
         tries.wish.excluded.add(grant.group_id)
         cut = _find_cut(error, call, passed)
+        tries.cuts.append(cut)
         if cut is not retries.Cut.REFUSED:
             env.admission.note_result(grant.group_id, False)
         return cut
     env.admission.note_result(grant.group_id, True)
+    invariants.check(
+        "answer_whole",
+        passed.events.is_done or not passed.events.count,
+        f"request={call.request_id} events={passed.events.count}",
+    )
     return None
--- a/src/sycamorespool/entries/transport.py
+++ b/src/sycamorespool/entries/transport.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import typing as t
 
 import pynng
@@ -22,11 +23,25 @@
 Handlers: t.TypeAlias = dict[type, Handler]
 
 
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Frames sent and received since the start, and their bytes."""
+
+    messages: int = 0
+    size_bytes: int = 0
+
+    def count(self, frame: bytes) -> None:
+        """Count one frame."""
+        self.messages += 1
+        self.size_bytes += len(frame)
+
+
 class Transport:
     """Calls other entries; keeps a bounded number of sockets open."""
 
     def __init__(self, codec: frames.Codec) -> None:
         self.codec = codec
+        self.traffic = Traffic()
         self._sockets: collections.OrderedDict[str, pynng.Req0] = (
             collections.OrderedDict()
         )
@@ -69,7 +84,9 @@
             with trio.move_on_after(timeout_s):
                 with self._socket(address).new_context() as context:
                     await context.asend(data)
+                    self.traffic.count(data)
                     reply = await context.arecv()
+                    self.traffic.count(reply)
         except pynng.NNGException as error:
             raise exceptions.PeerUnavailable(str(error)) from error
         if reply is None:
@@ -103,19 +120,21 @@
 
 
 async def _answer_calls(
-    socket: pynng.Rep0, codec: frames.Codec, handlers: Handlers
+    socket: pynng.Rep0, transport: Transport, handlers: Handlers
 ) -> None:
     with socket.new_context() as context:
         while True:
             data = await context.arecv()
-            reply = await _answer(codec, data, handlers)
+            transport.traffic.count(data)
+            reply = await _answer(transport.codec, data, handlers)
             if reply is not None:
+                transport.traffic.count(reply)
                 await context.asend(reply)
 
 
 async def serve(
     address: str,
-    codec: frames.Codec,
+    transport: Transport,
     handlers: Handlers,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -126,4 +145,4 @@
         task_status.started()
         async with trio.open_nursery() as nursery:
             for _ in range(REPLY_WORKERS):
-                nursery.start_soon(_answer_calls, socket, codec, handlers)
+                nursery.start_soon(_answer_calls, socket, transport, handlers)
--- a/src/sycamorespool/fleet.py
+++ b/src/sycamorespool/fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from sycamorespool import checks
 from sycamorespool.decisions import isolation
 from sycamorespool.decisions import replay
 from sycamorespool.decisions import snapshots
@@ -41,6 +42,8 @@
     env: environment.Environment, state: replay.FleetState
 ) -> None:
     """Go on from another state, which is newer than the own one."""
+    if not checks.check_newer(env.fleet, state):
+        return
     env.fleet = state
     env.recent.clear()
     env.announce_change()
@@ -60,7 +63,12 @@
     """Apply records that follow those applied, and wake who waits."""
     new = [entry for entry in entries if entry.offset > env.fleet.offset]
     for entry in new:
+        version = env.fleet.version
+        epoch = env.fleet.epoch_of(getattr(entry.record, "unit", ""))
         replay.apply(env.fleet, entry.offset, entry.record)
+        checks.check_record(env.fleet, entry.record, version, epoch)
+    if any(isinstance(entry.record, checks.GROUP_RECORDS) for entry in new):
+        checks.check_members(env.fleet)
     env.recent.extend(map(_lighten, new))
     if new:
         env.announce_change()
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -3,8 +3,10 @@
 import dataclasses
 import math
 
+import msgspec
 import trio
 
+from sycamorespool import checks
 from sycamorespool.decisions import fleet
 from sycamorespool.decisions import grant_ledger
 from sycamorespool.decisions import grants
@@ -210,4 +212,12 @@
         return None
     ledger = _find_ledger(grantor, ask.unit, record, now_s)
     _observe(grantor, ledger, mandate, now_s)
-    return grants.answer(ledger, ask, mandate, env.fleet.config_offset, now_s)
+    answer = grants.answer(
+        ledger, ask, mandate, env.fleet.config_offset, now_s
+    )
+    given = tuple(
+        grant
+        for grant in answer.grants
+        if checks.check_grant(grantor.owner, ledger, grant, ask.entry, now_s)
+    )
+    return msgspec.structs.replace(answer, grants=given)
--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -7,6 +7,7 @@
 import trio
 
 from sycamorespool.backend_servers import control
+from sycamorespool import checks
 from sycamorespool.decisions import group_plans
 from sycamorespool.decisions import group_states
 from sycamorespool.decisions import groups
@@ -163,6 +164,8 @@
     vm = env.vms.get(action.vm) or control_.owner.listed.get(action.vm)
     if vm is None or not _may_send(control_, unit):
         return
+    if not checks.check_order(env, unit, action.order.epoch):
+        return
     memory = control_.owner.memory_of(unit)
     try:
         await control.send_order(env.pool, vm.address, action.order)
--- a/src/sycamorespool/operators/api.py
+++ b/src/sycamorespool/operators/api.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 import hmac
 import typing as t
 
@@ -43,6 +44,7 @@
             unit: record.entry for unit, record in env.fleet.owners.items()
         },
         "entries": sorted(env.entries()),
+        "peers": dataclasses.asdict(env.transport.traffic),
         "metrics": env.metrics.describe(),
     }
 
