Pump a service's queue in one loop, not from each request that waits

Cause, of the cost: every waiting request woke ten times a second and went through the queue; 80 waiting requests took 0.3 to 0.5 s of processor time for 9.5 s of waiting, and a full queue of 1,024 would have filled a core. One loop now pumps each queue, and a waiting request sleeps until its place or its deadline. The same scenario, 400 runs: 18 ms each.

Cause, of the flaky test: it failed about one time in three whole runs and never alone. Hypothesis makes trio order ready tasks by a random batch, so that both first places may go to one workspace, before anybody waits: 13 of 20 for the other one, which is right. With that order forced, 43 of 400 runs gave 13. Ruled out: load, the clock, the fair queue. The check now leaves the two first places out and allows 13 or 14 of 18, two values where it allowed three; 400 of 400 runs pass under both orders.

--- a/src/sycamorespool/admission.py
+++ b/src/sycamorespool/admission.py
@@ -196,7 +196,7 @@
             waiter = self._enqueue(held, wish)
             held.waiting[wish.service] += 1
             try:
-                await self._wait(held, waiter)
+                await self._wait(waiter)
             except BaseException:
                 self._leave(held, waiter, is_wanted=False)
                 raise
@@ -277,24 +277,16 @@
         )
         waiter.woken.set()
 
-    async def _wait(
-        self, held: grants_held.GrantsHeld, waiter: _Waiter
-    ) -> None:
+    async def _wait(self, waiter: _Waiter) -> None:
         wish = waiter.wish
-        deadline_s = waiter.ticket.arrived_s + wish.timeout_s
-        while not waiter.woken.is_set():
-            if trio.current_time() >= deadline_s:
-                self._refuse(
-                    waiter.ticket,
-                    "no_capacity",
-                    f"no replica of {wish.service} has a free place",
-                )
-                break
-            with trio.move_on_after(POLL_S):
-                await waiter.woken.wait()
-            if not waiter.woken.is_set():
-                # Grants may have come, or circuits may be tried again.
-                self.pump(held, wish.service)
+        with trio.move_on_at(waiter.ticket.arrived_s + wish.timeout_s):
+            await waiter.woken.wait()
+        if not waiter.woken.is_set():
+            self._refuse(
+                waiter.ticket,
+                "no_capacity",
+                f"no replica of {wish.service} has a free place",
+            )
         if waiter.error is not None:
             raise waiter.error
 
@@ -333,6 +325,17 @@
         for ticket in reversed(skipped):
             shares.put_back(queue, ticket)
 
+    async def run(self, held: grants_held.GrantsHeld) -> None:
+        """Give places that came by new grants or closed circuits, for ever.
+
+        One loop serves all that wait: a poll by each of them would cost
+        more the longer the queue is.
+        """
+        while True:
+            await trio.sleep(POLL_S)
+            for service in list(self._queues):
+                self.pump(held, service)
+
     def note_result(self, group_id: str, is_success: bool) -> None:
         """Note how an attempt at a group ended."""
         now_s = trio.current_time()
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -116,6 +116,7 @@
         nursery.start_soon(grant_user.ask_for_grants, user)
         nursery.start_soon(key_keeper.run, keeper)
         nursery.start_soon(usage_exchange.run, exchange)
+        nursery.start_soon(env.admission.run, env.held)
         nursery.start_soon(
             metrics.export, env.metrics, statsd, gauges.Gauges(env, own)
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,7 +56,10 @@
 def run(scenario, **options):
     async def main():
         entry = Entry(**options)
-        await scenario(entry)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry.gate.run, entry.held)
+            await scenario(entry)
+            nursery.cancel_scope.cancel()
         assert entry.count_used() == 0
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -72,7 +75,9 @@
                 await trio.sleep(9.5)
                 assert entry.count_used() == 2
                 served = [workspace for workspace, *_ in entry.log]
-                assert served.count("a") in (14, 15, 16)
+                # The first two places go to whoever comes first: nobody
+                # waits yet.  Of the 18 after them, 3 in 4 are 13.5.
+                assert served[2:].count("a") in (13, 14)
                 nursery.cancel_scope.cancel()
 
         run(scenario, places=2)
