--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -16,6 +16,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 from sycamorespool.decisions import key_batches
 from sycamorespool.decisions import keys
 from sycamorespool import records
@@ -122,7 +123,7 @@
             lambda entry=entry: demo.is_ready(deployment, entry.address)
         )
     await demo.patch(deployment, names[0], DOCUMENT)
-    tally = demo.Tally()
+    tally = verdicts.Tally()
 
     async def serves() -> bool:
         for number in range(40):
@@ -143,7 +144,7 @@
     """Keep charges in flight through ``count`` entries for a while."""
     async with processes.Deployment() as deployment:
         names = await _start(deployment, count)
-        tally = demo.Tally()
+        tally = verdicts.Tally()
         waits: list[float] = []
 
         async def keep_charging(lane: int) -> None:
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -21,6 +21,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 from sycamorespool import http_client
 
 CALM_S = (0.3, 2.0)
@@ -47,7 +48,7 @@
     deployment: processes.Deployment
     rng: random.Random
     entries: list[str]
-    tally: demo.Tally = dataclasses.field(default_factory=demo.Tally)
+    tally: verdicts.Tally = dataclasses.field(default_factory=verdicts.Tally)
     down: set[str] = dataclasses.field(default_factory=set)
     busy: set[str] = dataclasses.field(default_factory=set)
     expected_falls: collections.Counter[str] = dataclasses.field(
@@ -60,7 +61,7 @@
         names = sorted(
             name
             for name, process in self.deployment.processes.items()
-            if name.split("-")[0] in demo.DATA_CENTRES
+            if name.split("-")[0] in verdicts.DATA_CENTRES
             and process.popen.poll() is None
             and name not in self.busy
         )
@@ -170,7 +171,7 @@
 
 async def drain(soak: Soak) -> str:
     """Take a data centre out, check that it gets no work, bring it back."""
-    name = soak.rng.choice(demo.DATA_CENTRES)
+    name = soak.rng.choice(verdicts.DATA_CENTRES)
     if "drain" in soak.busy or "platform" in soak.busy:
         return "another drain or an outage goes on"
     soak.busy.add("drain")
@@ -273,15 +274,15 @@
         counts = await deployment.get(f"{process.address}/counts")
         if name.startswith("orders-"):
             runs.update(counts["runs"])
-        elif name.split("-")[0] in demo.DATA_CENTRES:
+        elif name.split("-")[0] in verdicts.DATA_CENTRES:
             falls = counts["falls"] - soak.expected_falls[name]
             if falls > 0:
                 tally.faults.append(f"{name} fell over {falls} times")
-    await demo.check_invariants(deployment, tally, soak.entries)
-    demo.check_charges(tally, runs)
+    await verdicts.check_invariants(deployment, tally, soak.entries)
+    verdicts.check_charges(tally, runs)
 
 
-async def run_soak(seed: int, steps: int) -> demo.Tally:
+async def run_soak(seed: int, steps: int) -> verdicts.Tally:
     """Run the faults of one seed and return what was seen."""
     async with (
         processes.Deployment() as deployment,
@@ -293,7 +294,7 @@
         nursery.start_soon(
             demo.sample_groups, deployment, soak.tally, soak.entries
         )
-        await demo.wait_for_groups(deployment, soak.tally, demo.GROUPS)
+        await demo.wait_for_groups(deployment, soak.tally, verdicts.GROUPS)
         stop = trio.Event()
         async with trio.open_nursery() as callers:
             callers.start_soon(_keep_charging, soak, stop)
@@ -314,7 +315,7 @@
 
 async def _recovered(soak: Soak) -> bool:
     samples = soak.tally.samples
-    return bool(samples) and samples[-1][1] >= demo.GROUPS
+    return bool(samples) and samples[-1][1] >= verdicts.GROUPS
 
 
 def main() -> int:
@@ -324,7 +325,7 @@
     parser.add_argument("--steps", type=int, default=30)
     chosen = parser.parse_args()
     tally = trio.run(run_soak, chosen.seed, chosen.steps)
-    demo.report(tally)
+    verdicts.report(tally)
     for fault, count in collections.Counter(tally.faults).items():
         print(f"soak: fault: {fault} ({count} times)")
     print(f"soak: seed {chosen.seed} {'failed' if tally.faults else 'ok'}")
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -7,19 +7,17 @@
 """
 
 import collections
-import dataclasses
 import sys
 
 import msgspec
 import trio
 
 from examples import processes
+from examples import verdicts
 from sycamorespool import http_client
 from sycamorespool.standins import engine
 
-DATA_CENTRES = ("barracas", "palermo", "avellaneda")
 VMS_PER_DATA_CENTRE = 5
-GROUPS = 6
 DRAIN_LIMIT_S = 5.0
 TOKENS = 24
 DOCUMENT = {
@@ -30,7 +28,7 @@
         "assistant": {
             "kind": "model",
             "group_size": 2,
-            "replicas": GROUPS,
+            "replicas": verdicts.GROUPS,
             "model": "tour",
             "cold_limit": 2,
             "warm_limit": 16,
@@ -46,27 +44,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class Tally:
-    """What the demo saw."""
-
-    served: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    refused: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    faults: list[str] = dataclasses.field(default_factory=list)
-    charges: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    not_run: set[str] = dataclasses.field(default_factory=set)
-    samples: list[tuple[float, int, int]] = dataclasses.field(
-        default_factory=list
-    )
-    drained_before: dict[str, int] = dataclasses.field(default_factory=dict)
-
-
 def read_tokens(body: bytes) -> tuple[str, bool]:
     """Return the text of a streamed completion and whether it has its end."""
     events = [
@@ -104,7 +81,10 @@
 
 
 async def complete(
-    deployment: processes.Deployment, tally: Tally, entry: str, prompt: str
+    deployment: processes.Deployment,
+    tally: verdicts.Tally,
+    entry: str,
+    prompt: str,
 ) -> None:
     """Ask for a completion and check that the answer is whole."""
     body = {
@@ -129,7 +109,10 @@
 
 
 async def charge(
-    deployment: processes.Deployment, tally: Tally, entry: str, name: str
+    deployment: processes.Deployment,
+    tally: verdicts.Tally,
+    entry: str,
+    name: str,
 ) -> None:
     """Make one keyed charge."""
     answer = await post(
@@ -149,7 +132,7 @@
 
 async def load(
     deployment: processes.Deployment,
-    tally: Tally,
+    tally: verdicts.Tally,
     entries: list[str],
     stop: trio.Event,
 ) -> None:
@@ -169,10 +152,10 @@
 
 
 async def sample_groups(
-    deployment: processes.Deployment, tally: Tally, entries: list[str]
+    deployment: processes.Deployment, tally: verdicts.Tally, entries: list[str]
 ) -> None:
     """Note how many groups serve and how many VMs serve in none."""
-    total_vms = VMS_PER_DATA_CENTRE * len(DATA_CENTRES)
+    total_vms = VMS_PER_DATA_CENTRE * len(verdicts.DATA_CENTRES)
     while True:
         whole: set[str] = set()
         for entry in list(entries):
@@ -196,17 +179,17 @@
 
 async def start(deployment: processes.Deployment) -> list[str]:
     """Start the deployment and wait until it serves."""
-    for data_centre in DATA_CENTRES:
+    for data_centre in verdicts.DATA_CENTRES:
         for number in range(VMS_PER_DATA_CENTRE):
             await deployment.start_engine(
                 f"{data_centre}-{number}", data_centre, f"{data_centre}-f1"
             )
-    for number, data_centre in enumerate(DATA_CENTRES[:2]):
+    for number, data_centre in enumerate(verdicts.DATA_CENTRES[:2]):
         await deployment.start_service(
             f"orders-{number}", "orders", data_centre, f"{data_centre}-f1"
         )
     entries = []
-    for data_centre in DATA_CENTRES:
+    for data_centre in verdicts.DATA_CENTRES:
         name = f"entry-{data_centre}"
         await deployment.start_entry(name, data_centre)
         entries.append(name)
@@ -246,7 +229,7 @@
 
 
 async def wait_for_groups(
-    deployment: processes.Deployment, tally: Tally, count: int
+    deployment: processes.Deployment, tally: verdicts.Tally, count: int
 ) -> None:
     """Wait until so many groups serve."""
 
@@ -275,10 +258,10 @@
 
 
 async def drain_and_restore(
-    deployment: processes.Deployment, tally: Tally, entry: str
+    deployment: processes.Deployment, tally: verdicts.Tally, entry: str
 ) -> None:
     """Take a data centre out, check it, and bring it back."""
-    name = DATA_CENTRES[1]
+    name = verdicts.DATA_CENTRES[1]
     change = {"data_centres": {name: {"in_service": False}}}
     say(f"drain {name}: {await patch(deployment, entry, change)}")
     await trio.sleep(DRAIN_LIMIT_S)
@@ -293,7 +276,7 @@
 
 
 async def replace_entry(
-    deployment: processes.Deployment, tally: Tally, entries: list[str]
+    deployment: processes.Deployment, tally: verdicts.Tally, entries: list[str]
 ) -> None:
     """Replace one entry while requests are in flight."""
     name = entries.pop()
@@ -302,26 +285,14 @@
     say(f"{name} stopped with exit code {code}")
     if code != 0:
         tally.faults.append(f"{name} stopped with {code}")
-    new = await deployment.start_entry(f"{name}-b", DATA_CENTRES[2])
+    new = await deployment.start_entry(f"{name}-b", verdicts.DATA_CENTRES[2])
     await deployment.wait_for(lambda: is_ready(deployment, new.address))
     entries.append(new.name)
     say(f"{new.name} serves in its place")
 
 
-def check_charges(tally: Tally, runs: collections.Counter[str]) -> None:
-    """Compare what the services ran with what callers were told."""
-    for name, count in runs.items():
-        if count != 1:
-            tally.faults.append(f"charge {name} ran {count} times")
-    for name in tally.charges:
-        if name not in runs:
-            tally.faults.append(f"charge {name} was answered, but not run")
-    for name in tally.not_run & set(runs):
-        tally.faults.append(f"charge {name} ran, but was called not run")
-
-
 async def charge_all(
-    deployment: processes.Deployment, tally: Tally, entries: list[str]
+    deployment: processes.Deployment, tally: verdicts.Tally, entries: list[str]
 ) -> None:
     """Make keyed charges through different entries and count their runs."""
     names = [f"charge-{number}" for number in range(12)]
@@ -334,51 +305,13 @@
         if process.name.startswith("orders-"):
             counts = await deployment.get(f"{process.address}/counts")
             runs.update(counts["runs"])
-    check_charges(tally, runs)
+    verdicts.check_charges(tally, runs)
     say(f"charges answered {sum(tally.charges.values())}, run {dict(runs)}")
 
 
-async def check_falls(deployment: processes.Deployment, tally: Tally) -> None:
-    """Check that no engine got more load than it could bear."""
-    for process in deployment.processes.values():
-        is_engine = process.name.split("-")[0] in DATA_CENTRES
-        if is_engine and process.popen.poll() is None:
-            counts = await deployment.get(f"{process.address}/counts")
-            if counts["falls"]:
-                tally.faults.append(f"{process.name} fell over under load")
-
-
-async def check_invariants(
-    deployment: processes.Deployment, tally: Tally, entries: list[str]
-) -> None:
-    """Check that the entries counted no promise that did not hold."""
-    for name in entries:
-        status = await deployment.operate(name, "GET", "/status")
-        tally.faults += [
-            f"{name} counted {series} {times} times"
-            for series, times in status["metrics"]["counters"].items()
-            if series.startswith("invariants_violated")
-        ]
-
-
-def report(tally: Tally) -> None:
-    """Print what was served, refused, down and stranded over the run."""
-    say(f"served {dict(tally.served)}")
-    say(f"refused {dict(tally.refused)}")
-    downtime_s = 0.0
-    stranded_s = 0.0
-    for (then_s, whole, stranded), (now_s, _, _) in zip(
-        tally.samples, tally.samples[1:], strict=False
-    ):
-        downtime_s += (GROUPS - whole) * (now_s - then_s)
-        stranded_s += stranded * (now_s - then_s)
-    say(f"group downtime {downtime_s:.1f} group-seconds")
-    say(f"stranded {stranded_s:.1f} VM-seconds")
-
-
 async def run() -> int:
     """Run the demo and return its exit code."""
-    tally = Tally()
+    tally = verdicts.Tally()
     async with (
         processes.Deployment() as deployment,
         trio.open_nursery() as nursery,
@@ -387,8 +320,8 @@
         say(f"entries ready: {', '.join(entries)}")
         say(f"patch: {await patch(deployment, entries[0], DOCUMENT)}")
         nursery.start_soon(sample_groups, deployment, tally, entries)
-        await wait_for_groups(deployment, tally, GROUPS)
-        say(f"{GROUPS} groups of 2 VMs serve")
+        await wait_for_groups(deployment, tally, verdicts.GROUPS)
+        say(f"{verdicts.GROUPS} groups of 2 VMs serve")
         stop = trio.Event()
         async with trio.open_nursery() as callers:
             callers.start_soon(load, deployment, tally, entries, stop)
@@ -397,13 +330,13 @@
             deployment.kill("barracas-0")
             say("killed barracas-0")
             await trio.sleep(2.0)
-            await wait_for_groups(deployment, tally, GROUPS)
-            say(f"{GROUPS} groups serve again")
+            await wait_for_groups(deployment, tally, verdicts.GROUPS)
+            say(f"{verdicts.GROUPS} groups serve again")
             await replace_entry(deployment, tally, entries)
             stop.set()
-        await check_falls(deployment, tally)
-        await check_invariants(deployment, tally, entries)
-        report(tally)
+        await verdicts.check_falls(deployment, tally)
+        await verdicts.check_invariants(deployment, tally, entries)
+        verdicts.report(tally)
         nursery.cancel_scope.cancel()
     for fault in tally.faults:
         say(f"fault: {fault}")
--- a/tests/processes/test_grants.py
+++ b/tests/processes/test_grants.py
@@ -5,6 +5,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 
 DOCUMENT = {
     "workspaces": {"w": {"key_hashes": [processes.CALLER_KEY_HASH]}},
@@ -37,7 +38,7 @@
 
 
 async def is_served(deployment, entry, prompt="sizes?"):
-    tally = demo.Tally()
+    tally = verdicts.Tally()
     await demo.complete(deployment, tally, entry, prompt)
     assert not tally.faults
     return tally.served[entry]
--- a/tests/processes/test_groups.py
+++ b/tests/processes/test_groups.py
@@ -6,6 +6,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 from sycamorespool import models
 
 ENTRY = "entry-1"
@@ -55,7 +56,7 @@
     """Wait until a completion is served, and check that it is whole."""
 
     async def ask():
-        tally = demo.Tally()
+        tally = verdicts.Tally()
         await demo.complete(deployment, tally, ENTRY, prompt)
         return tally if tally.served else None
 
--- a/tests/processes/test_log_faults.py
+++ b/tests/processes/test_log_faults.py
@@ -6,6 +6,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 from sycamorespool import http_client
 from tests.processes import links
 
@@ -50,7 +51,7 @@
         return await self.until(entry, lambda s: s["owners"].get(UNIT) in by)
 
     async def serves(self, entry):
-        tally = demo.Tally()
+        tally = verdicts.Tally()
         await demo.complete(self.deployment, tally, entry, "sizes?")
         assert tally.faults == []
         return tally.served[entry] == 1
@@ -164,7 +165,7 @@
     deployment.processes["entry-2"].popen.send_signal(signal.SIGSTOP)
     await watcher.until("entry-1", lambda s: not s["is_ready"])
     assert says_now(deployment, "entry-1", "isolated")
-    tally = demo.Tally()
+    tally = verdicts.Tally()
     await demo.complete(deployment, tally, "entry-1", "sizes?")
     assert tally.refused
     assert not tally.faults
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -2,6 +2,7 @@
 
 from examples import demo
 from examples import processes
+from examples import verdicts
 
 DOCUMENT = {
     "workspaces": {"w": {"key_hashes": [processes.CALLER_KEY_HASH]}},
@@ -21,7 +22,7 @@
                 lambda: demo.is_ready(deployment, entry.address)
             )
             await demo.patch(deployment, "entry-1", DOCUMENT)
-            tally = demo.Tally()
+            tally = verdicts.Tally()
             await deployment.wait_for(lambda: serves(deployment))
             await demo.complete(deployment, tally, "entry-1", "sizes?")
             assert tally.faults == []
@@ -47,7 +48,7 @@
             await demo.patch(deployment, "entry-1", document)
             await deployment.wait_for(lambda: both_serve(deployment))
             await deployment.set_faults("v1", cut_after_tokens=5)
-            tally = demo.Tally()
+            tally = verdicts.Tally()
             for index in range(6):
                 prompt = f"sizes {index}?"
                 await demo.complete(deployment, tally, "entry-1", prompt)
