--- a/examples/verdicts.py
+++ b/examples/verdicts.py
@@ -27,7 +27,6 @@
     samples: list[tuple[float, int, int]] = dataclasses.field(
         default_factory=list
     )
-    drained_before: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 def check_charges(tally: Tally, runs: collections.Counter[str]) -> None:
