--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -5,7 +5,6 @@
 import re
 import typing as t
 
-from absl import logging
 import msgspec
 import trio
 
@@ -17,6 +16,7 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import keyed_calls
+from sycamorespool import logs
 from sycamorespool import relay
 
 COMPLETIONS_PATH = "/v1/chat/completions"
@@ -27,6 +27,8 @@
 REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 REPEATABLE_METHODS = frozenset(("GET", "HEAD"))
 
+log = logs.make_logger("callers")
+
 
 class Completion(msgspec.Struct):
     """What the system reads of a completion request."""
@@ -308,11 +310,11 @@
         if not passed.is_begun:
             await passed.answer(problems.make_problem(error))
             return
-        logging.warning(
-            "callers: answer cut request=%s code=%s events=%d",
-            passed.request_id,
-            error.code,
-            passed.events.count,
+        log.warning(
+            "answer cut",
+            request_id=passed.request_id,
+            code=error.code,
+            count=passed.events.count,
         )
         problem = msgspec.json.encode(problems.describe(error))
         await passed.send_last_error(problem)
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -3,7 +3,6 @@
 import functools
 import signal
 
-from absl import logging
 import trio
 
 from sycamorespool import asgi
@@ -21,6 +20,7 @@
 from sycamorespool import key_keeper
 from sycamorespool import key_settlement
 from sycamorespool import keyed_calls
+from sycamorespool import logs
 from sycamorespool import metrics
 from sycamorespool.operators import api
 from sycamorespool import owner
@@ -32,6 +32,8 @@
 
 READINESS_NOTICE_S = 0.5
 
+log = logs.make_logger("entry")
+
 
 def _make_peer_handlers(
     own: owner.Owner,
@@ -66,7 +68,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-    logging.info("entry: stopping open=%d", env.requests_open)
+    log.info("stopping", open=env.requests_open)
     env.is_stopping = True
     env.is_ready = False
     # The balancer polls readiness: requests that it sends before it notices
@@ -128,8 +130,8 @@
         )
         operators = api.make_app(env, own, keeper)
         nursery.start_soon(asgi.serve, operators, listen.operators, stop)
-        logging.info("entry: started name=%s", env.name)
+        log.info("started", name=env.name)
         await callers_app.serve(env, stop, keyed)
         nursery.cancel_scope.cancel()
     env.transport.close()
-    logging.info("entry: stopped name=%s", env.name)
+    log.info("stopped", name=env.name)
--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -3,7 +3,6 @@
 from collections import abc
 import dataclasses
 
-from absl import logging
 import trio
 
 from sycamorespool.backend_servers import control
@@ -14,6 +13,7 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import leases
+from sycamorespool import logs
 from sycamorespool import models
 from sycamorespool import owner
 from sycamorespool import records
@@ -23,6 +23,8 @@
 PLAN_PAUSE_S = 0.05
 CACHE_MOVE_TIMEOUT_S = 2.0
 
+log = logs.make_logger("groups")
+
 
 @dataclasses.dataclass(slots=True)
 class GroupControl:
@@ -130,11 +132,11 @@
         await env.log.append(records.FLEET_STREAM, list(batch.values()))
     except exceptions.OutcomeLost as error:
         # Replay drops a record that it has seen, so appending again is safe.
-        logging.warning("groups: append unknown unit=%s %s", unit, error)
+        log.warning("append unknown", unit=unit, error=error)
         env.metrics.count("log_appends_failed")
         control_.unsettled[unit] = batch
     except exceptions.PlatformError as error:
-        logging.warning("groups: append failed unit=%s %s", unit, error)
+        log.warning("append failed", unit=unit, error=error)
         env.metrics.count("log_appends_failed")
         _forget(memory, batch)
 
@@ -174,7 +176,7 @@
         groups.note_answer(memory, action.vm, action.order)
         env.metrics.count("orders_failed")
     except exceptions.BackendError as error:
-        logging.warning("groups: order failed vm=%s %s", action.vm, error)
+        log.warning("order failed", vm=action.vm, error=error)
         env.metrics.count("orders_failed")
     else:
         await owner.probe(control_.owner, vm)
@@ -183,17 +185,13 @@
 async def _begin_drain(
     control_: GroupControl, unit: str, action: group_plans.BeginDrain
 ) -> None:
-    logging.info(
-        "groups: drain begins group=%s reason=%s",
-        action.group_id,
-        action.reason,
-    )
+    log.info("drain begins", group=action.group_id, reason=action.reason)
 
 
 async def _end_drain(
     control_: GroupControl, unit: str, action: group_plans.EndDrain
 ) -> None:
-    logging.info("groups: drain ends group=%s", action.group_id)
+    log.info("drain ends", group=action.group_id)
 
 
 async def _move_cache(
@@ -209,7 +207,7 @@
             await control.move_cache(env.pool, source.address, target.address)
     except (exceptions.BackendError, trio.TooSlowError) as error:
         # The group serves without the cache, only slower at first.
-        logging.info("groups: cache not moved group=%s %s", unit, error)
+        log.info("cache not moved", group=action.group_id, error=error)
 
 
 _PERFORM: dict[type, abc.Callable[..., abc.Awaitable[None]]] = {
