Name the running work of an owner without a trailing underscore

The name stood for an instance of GroupControl and was bent around the module control; a newcomer had to look twice. Renamed mechanically: tests/processes/test_groups.py, test_path.py and test_layout.py, 643 passed.

--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -59,54 +59,54 @@
 async def run(own: owner.Owner) -> None:
     """Probe, plan and act for every owned domain, for ever."""
     async with trio.open_nursery() as nursery:
-        control_ = GroupControl(own, nursery)
-        nursery.start_soon(_run_probes, control_)
-        nursery.start_soon(_wake_on_records, control_)
-        await _run_plans(control_)
+        running = GroupControl(own, nursery)
+        nursery.start_soon(_run_probes, running)
+        nursery.start_soon(_wake_on_records, running)
+        await _run_plans(running)
 
 
-async def _run_probes(control_: GroupControl) -> None:
+async def _run_probes(running: GroupControl) -> None:
     # A VM that does not answer holds up no probe of another one.
-    own = control_.owner
+    own = running.owner
     while True:
-        for unit in control_.list_units():
+        for unit in running.list_units():
             for name in own.list_vms(unit):
-                vm = control_.env.vms.get(name) or own.listed.get(name)
-                if vm is not None and name not in control_.probing:
-                    control_.probing.add(name)
-                    control_.nursery.start_soon(_probe, control_, vm)
+                vm = running.env.vms.get(name) or own.listed.get(name)
+                if vm is not None and name not in running.probing:
+                    running.probing.add(name)
+                    running.nursery.start_soon(_probe, running, vm)
         await trio.sleep(PROBE_PERIOD_S)
 
 
-async def _probe(control_: GroupControl, vm: models.Vm) -> None:
+async def _probe(running: GroupControl, vm: models.Vm) -> None:
     try:
-        await owner.probe(control_.owner, vm)
+        await owner.probe(running.owner, vm)
     finally:
-        control_.probing.discard(vm.vm)
+        running.probing.discard(vm.vm)
 
 
-async def _wake_on_records(control_: GroupControl) -> None:
+async def _wake_on_records(running: GroupControl) -> None:
     while True:
-        await control_.env.fleet_changed.wait()
-        control_.owner.announce_change()
+        await running.env.fleet_changed.wait()
+        running.owner.announce_change()
 
 
-async def _run_plans(control_: GroupControl) -> None:
-    own = control_.owner
+async def _run_plans(running: GroupControl) -> None:
+    own = running.owner
     while True:
         with trio.move_on_after(PLAN_PERIOD_S):
             await own.changed.wait()
         own.changed = trio.Event()
         # A stopping owner still probes, since its grants rest on that.
-        units = [] if own.env.is_stopping else control_.list_units()
+        units = [] if own.env.is_stopping else running.list_units()
         for unit in units:
-            await _plan(control_, unit)
+            await _plan(running, unit)
         await trio.sleep(PLAN_PAUSE_S)
 
 
-async def _plan(control_: GroupControl, unit: str) -> None:
-    own = control_.owner
-    await _append(control_, unit, control_.unsettled.pop(unit, {}))
+async def _plan(running: GroupControl, unit: str) -> None:
+    own = running.owner
+    await _append(running, unit, running.unsettled.pop(unit, {}))
     memory = own.memory_of(unit)
     view = own.view(unit, trio.current_time())
     fresh: dict[str, records.Record] = {}
@@ -114,17 +114,17 @@
         if isinstance(action, group_plans.Append):
             fresh[action.record.record_id] = action.record
         else:
-            await _PERFORM[type(action)](control_, unit, action)
-    await _append(control_, unit, fresh)
+            await _PERFORM[type(action)](running, unit, action)
+    await _append(running, unit, fresh)
 
 
 async def _append(
-    control_: GroupControl, unit: str, batch: dict[str, records.Record]
+    running: GroupControl, unit: str, batch: dict[str, records.Record]
 ) -> None:
     if not batch:
         return
-    env = control_.env
-    memory = control_.owner.memory_of(unit)
+    env = running.env
+    memory = running.owner.memory_of(unit)
     if not leases.may_act(env, unit):
         _forget(memory, batch)
         return
@@ -134,7 +134,7 @@
         # Replay drops a record that it has seen, so appending again is safe.
         log.warning("append unknown", unit=unit, error=error)
         env.metrics.count("log_appends_failed")
-        control_.unsettled[unit] = batch
+        running.unsettled[unit] = batch
     except exceptions.PlatformError as error:
         log.warning("append failed", unit=unit, error=error)
         env.metrics.count("log_appends_failed")
@@ -147,28 +147,28 @@
 
 
 async def _send(
-    control_: GroupControl, unit: str, action: group_plans.Send
+    running: GroupControl, unit: str, action: group_plans.Send
 ) -> None:
-    control_.nursery.start_soon(_send_order, control_, unit, action)
+    running.nursery.start_soon(_send_order, running, unit, action)
 
 
-def _may_send(control_: GroupControl, unit: str) -> bool:
-    services = control_.env.fleet.config.services.values()
+def _may_send(running: GroupControl, unit: str) -> bool:
+    services = running.env.fleet.config.services.values()
     is_checked = all(s.fencing == "checked" for s in services)
     fencing = "checked" if is_checked else "ignored"
-    return leases.may_order(control_.env, unit, fencing)
+    return leases.may_order(running.env, unit, fencing)
 
 
 async def _send_order(
-    control_: GroupControl, unit: str, action: group_plans.Send
+    running: GroupControl, unit: str, action: group_plans.Send
 ) -> None:
-    env = control_.env
-    vm = env.vms.get(action.vm) or control_.owner.listed.get(action.vm)
-    if vm is None or not _may_send(control_, unit):
+    env = running.env
+    vm = env.vms.get(action.vm) or running.owner.listed.get(action.vm)
+    if vm is None or not _may_send(running, unit):
         return
     if not checks.check_order(env, unit, action.order.epoch):
         return
-    memory = control_.owner.memory_of(unit)
+    memory = running.owner.memory_of(unit)
     try:
         await control.send_order(env.pool, vm.address, action.order)
         groups.note_answer(memory, action.vm, action.order)
@@ -179,26 +179,26 @@
         log.warning("order failed", vm=action.vm, error=error)
         env.metrics.count("orders_failed")
     else:
-        await owner.probe(control_.owner, vm)
+        await owner.probe(running.owner, vm)
 
 
 async def _begin_drain(
-    control_: GroupControl, unit: str, action: group_plans.BeginDrain
+    running: GroupControl, unit: str, action: group_plans.BeginDrain
 ) -> None:
     log.info("drain begins", group=action.group_id, reason=action.reason)
 
 
 async def _end_drain(
-    control_: GroupControl, unit: str, action: group_plans.EndDrain
+    running: GroupControl, unit: str, action: group_plans.EndDrain
 ) -> None:
     log.info("drain ends", group=action.group_id)
 
 
 async def _move_cache(
-    control_: GroupControl, unit: str, action: group_plans.MoveCache
+    running: GroupControl, unit: str, action: group_plans.MoveCache
 ) -> None:
-    env = control_.env
-    listed = control_.owner.listed
+    env = running.env
+    listed = running.owner.listed
     source, target = listed.get(action.source), listed.get(action.target)
     if source is None or target is None:
         return
