--- a/benchmarks/binary.py
+++ b/benchmarks/binary.py
@@ -19,7 +19,7 @@
 
 BINARY = pathlib.Path("build/sycamorespool").resolve()
 REPEATS = 5
-TMPFS = pathlib.Path("/dev/shm")
+TMPFS = pathlib.Path("/run")
 
 
 def find_children(pid: int) -> list[int]:
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Puts the libraries and the package where a process finds them.
+set -eu
+deps=target/deps
+if [ ! -e "$deps/.ready" ] || [ deploy/requirements.txt -nt "$deps/.ready" ]
+then
+    rm -rf "$deps"
+    python3 -m pip install --quiet --no-deps --target "$deps" \
+        -r deploy/requirements.txt
+    touch "$deps/.ready"
+fi
+rm -rf "$deps/sycamorespool"
+cp -r src/sycamorespool "$deps/sycamorespool"
+python3 -m compileall -q "$deps"
--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -9,10 +9,7 @@
 import typing as t
 import urllib.parse
 
-import hypercorn.config
-import hypercorn.trio
 import msgspec
-import trio
 
 Scope: t.TypeAlias = dict[str, t.Any]
 Receive: t.TypeAlias = collections.abc.Callable[
@@ -175,32 +172,3 @@
         await send_response(send, await handle(read_head(scope, body)))
 
     return app
-
-
-async def serve(
-    app: App,
-    address: str,
-    stop: trio.Event,
-    grace_s: float = 3.0,
-    task_status: trio.TaskStatus[t.Any] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve an application at ``IP:port`` until ``stop`` is set.
-
-    Open requests get ``grace_s`` seconds to end after that.
-    """
-    config = hypercorn.config.Config()
-    config.bind = [address]
-    config.graceful_timeout = grace_s
-    config.shutdown_timeout = grace_s
-    config.keep_alive_timeout = 60
-    config.h11_max_incomplete_size = MAX_HEAD_BYTES
-    config.include_server_header = False
-    config.errorlog = None
-    config.accesslog = None
-    await hypercorn.trio.serve(
-        app,  # type: ignore[arg-type]
-        config,
-        shutdown_trigger=stop.wait,
-        mode="asgi",
-        task_status=task_status,
-    )
--- a/src/sycamorespool/backend_servers/stream.py
+++ b/src/sycamorespool/backend_servers/stream.py
@@ -6,7 +6,7 @@
 """
 
 import collections
-import collections.abc
+from collections import abc
 import contextlib
 import dataclasses
 import typing as t
@@ -18,6 +18,7 @@
 from sycamorespool import sockets
 
 REFUSALS = frozenset((429, 503))
+ATTEMPT_HEADER = "x-attempt-id"
 CONNECT_TIMEOUT_S = 1.0
 FINISH_TIMEOUT_S = 0.2
 MAX_HEAD_BYTES = 64 * 1024
@@ -27,6 +28,32 @@
 RENEWALS_PER_TIMEOUT = 8
 
 
+def _is_own_refusal(status: int, headers: abc.Mapping[str, str]) -> bool:
+    return status in REFUSALS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """How backend servers name an attempt and refuse one.
+
+    Parameters
+    ----------
+    attempt_header : str
+        Lower-case name of the header that carries the attempt's id, which
+        the answer repeats.
+    is_refusal : callable
+        Whether status and headers say that the request was not run.
+    """
+
+    attempt_header: str = ATTEMPT_HEADER
+    is_refusal: abc.Callable[[int, abc.Mapping[str, str]], bool] = (
+        _is_own_refusal
+    )
+
+
+OWN_DIALECT = Dialect()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outgoing:
     """One attempt at a request.
@@ -49,6 +76,7 @@
     body: bytes
     attempt_id: str
     may_reuse: bool = True
+    dialect: Dialect = OWN_DIALECT
 
 
 class _Link:
@@ -64,8 +92,12 @@
         self.idle_since_s = 0.0
 
     def is_reusable(self) -> bool:
-        """Tell whether a whole exchange ended and another may begin."""
-        return self.http.our_state is self.http.their_state is h11.DONE
+        """Tell whether a whole exchange ended and another may begin.
+
+        Bytes after the end of an answer belong to no request.
+        """
+        is_done = self.http.our_state is self.http.their_state is h11.DONE
+        return is_done and not self.http.trailing_data[0]
 
 
 class Links:
@@ -223,9 +255,9 @@
 
 def _encode_request(http: h11.Connection, outgoing: Outgoing) -> bytes:
     headers = {
-        **outgoing.headers,
         "host": outgoing.address,
-        "x-attempt-id": outgoing.attempt_id,
+        **outgoing.headers,
+        outgoing.dialect.attempt_header: outgoing.attempt_id,
         "content-length": str(len(outgoing.body)),
     }
     request = h11.Request(
@@ -248,16 +280,17 @@
     except OSError as error:
         raise exceptions.BackendCut(repr(error)) from error
     await answer.read_head()
-    if answer.status in REFUSALS:
+    dialect = outgoing.dialect
+    if dialect.is_refusal(answer.status, answer.headers):
         raise exceptions.BackendRefused(answer.status)
-    if answer.headers.get("x-attempt-id", "") != outgoing.attempt_id:
+    if answer.headers.get(dialect.attempt_header) != outgoing.attempt_id:
         raise exceptions.BackendCut("answer of another attempt")
 
 
 @contextlib.asynccontextmanager
 async def open_request(
     links: Links, outgoing: Outgoing, idle_s: float, end_s: float
-) -> collections.abc.AsyncIterator[BackendAnswer]:
+) -> abc.AsyncIterator[BackendAnswer]:
     """Send a request and give the answer while its connection is open.
 
     The connection is closed, never used again, if the answer is left
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from sycamorespool import asgi
+from sycamorespool import asgi_server
 from sycamorespool.callers import app as callers_app
 from sycamorespool import claims
 from sycamorespool.entries import messages
@@ -129,7 +129,9 @@
             _make_peer_handlers(own, watch, user, followed, keeper, exchange),
         )
         operators = api.make_app(env, own, keeper)
-        nursery.start_soon(asgi.serve, operators, listen.operators, stop)
+        nursery.start_soon(
+            asgi_server.serve, operators, listen.operators, stop
+        )
         log.info("started", name=env.name)
         await callers_app.serve(env, stop, keyed)
         nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/sycamorespool/decisions/allotment.py
@@ -0,0 +1,244 @@
+"""Which models the free VMs of each fabric domain are grouped for.
+
+Every owner works out the allotment of the whole fleet from the registry
+and carries out what falls to its own domains, so that owners need not talk
+to each other::
+
+    wanted = allot(engine.models, domains)
+    wanted["d1"]  # names of the models to form a group for
+
+No VM is kept spare: the more groups there are, the fewer requests a loss
+meets, and the other members of a lost group are the spares of the next one,
+with its weights on their hosts.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+
+from sycamorespool import routing_table
+
+# A group of each model may be lost before its work waits.
+TOLERATED_LOSSES = 1
+LEAST_NEED = 1e-6
+
+
+@dataclasses.dataclass(slots=True)
+class Domain:
+    """What the allotment looks at in one fabric domain.
+
+    Parameters
+    ----------
+    data_centre : str
+        Where it stands.
+    grouped : Counter
+        Whole groups by model, those that form among them.
+    free : list
+        The models whose weights lie on the host, for each free VM.
+    """
+
+    data_centre: str = ""
+    grouped: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    free: list[frozenset[str]] = dataclasses.field(default_factory=list)
+
+    def count_staged(self, model: str) -> int:
+        """Return how many free VMs have the weights of a model."""
+        return sum(model in staged for staged in self.free)
+
+    def take(self, model: routing_table.Model) -> None:
+        """Use free VMs for a group, those that have its weights first."""
+        self.free.sort(key=lambda staged: model.name not in staged)
+        del self.free[: model.size]
+        self.grouped[model.name] += 1
+
+
+def need(model: routing_table.Model) -> float:
+    """Return how many groups a model needs, beside those of the others.
+
+    The share counts the work of single VMs.
+    """
+    return max(model.share / model.size, LEAST_NEED)
+
+
+def find_targets(
+    models: abc.Sequence[routing_table.Model], vms: int
+) -> collections.Counter[str]:
+    """Return how many groups of each model a number of VMs should form.
+
+    Groups go one by one to the model that would be shortest of them after
+    the loss of one.
+    """
+    targets: collections.Counter[str] = collections.Counter()
+
+    def fill(model: routing_table.Model) -> tuple[bool, float, float]:
+        spare = (targets[model.name] - TOLERATED_LOSSES) / need(model)
+        return (targets[model.name] > 0, spare, -need(model))
+
+    while True:
+        fitting = [model for model in models if model.size <= vms]
+        if not fitting:
+            return targets
+        model = min(fitting, key=fill)
+        targets[model.name] += 1
+        vms -= model.size
+
+
+def _choose_domain(
+    domains: abc.Mapping[str, Domain],
+    fitting: abc.Iterable[str],
+    model: routing_table.Model,
+) -> str:
+    """Return the domain for one more group of a model.
+
+    One that can form it at once comes first.  Otherwise a domain keeps to
+    one model, whose groups then share their spare VMs, and the models
+    spread over the data centres, domain by domain.
+    """
+    nearby: collections.Counter[str] = collections.Counter()
+    for domain in domains.values():
+        nearby[domain.data_centre] += domain.grouped[model.name]
+
+    def rate(name: str) -> tuple[bool, int, int, int, int, str]:
+        domain = domains[name]
+        staged = min(domain.count_staged(model.name), model.size)
+        own = domain.grouped[model.name]
+        others = domain.grouped.total() - own
+        room = own + len(domain.free) // model.size
+        return (
+            staged < model.size,
+            others,
+            nearby[domain.data_centre] // room,
+            -own,
+            -staged,
+            name,
+        )
+
+    return min(fitting, key=rate)
+
+
+def allot(
+    models: abc.Sequence[routing_table.Model],
+    domains: abc.Mapping[str, Domain],
+) -> dict[str, list[str]]:
+    """Return the models to form groups for, by domain.
+
+    Parameters
+    ----------
+    models : sequence of Model
+        The models of one service.
+    domains : mapping
+        What each domain has; used up by the call.
+    """
+    draft = _Draft(models, domains)
+    draft.fill(_is_instant, lambda count, target: count < target)
+    draft.fill(_is_any, lambda count, target: 2 * count < target)
+    draft.use_staged()
+    draft.fill(_is_any, lambda count, target: count < target)
+    return draft.wanted
+
+
+def _is_instant(domain: Domain, model: routing_table.Model) -> bool:
+    return domain.count_staged(model.name) >= model.size
+
+
+def _is_any(domain: Domain, model: routing_table.Model) -> bool:
+    return len(domain.free) >= model.size
+
+
+class _Draft:
+    """An allotment in the making."""
+
+    def __init__(
+        self,
+        models: abc.Sequence[routing_table.Model],
+        domains: abc.Mapping[str, Domain],
+    ) -> None:
+        self.wanted: dict[str, list[str]] = {name: [] for name in domains}
+        self._domains = domains
+        self._counts = count_groups(domains)
+        self._targets = find_targets(models, count_vms(models, domains))
+        self._models = sorted(models, key=lambda m: (-need(m), m.name))
+
+    def fill(
+        self,
+        may_form: abc.Callable[[Domain, routing_table.Model], bool],
+        is_lacking: abc.Callable[[int, int], bool],
+    ) -> None:
+        """Form groups of lacking models where they may form.
+
+        Parameters
+        ----------
+        may_form : callable
+            Whether a domain may form a group of a model.
+        is_lacking : callable
+            Whether a model's count is too far below its target.
+        """
+        for model in self._models:
+            target = max(1, self._targets[model.name])
+            while is_lacking(self._counts[model.name], target):
+                fitting = [
+                    name
+                    for name, domain in self._domains.items()
+                    if may_form(domain, model)
+                ]
+                if not fitting:
+                    break
+                self._take(
+                    _choose_domain(self._domains, fitting, model), model
+                )
+
+    def use_staged(self) -> None:
+        """Form what free VMs can at once, rather than leave them idle."""
+        for model in sorted(self._models, key=lambda m: (-m.size, m.name)):
+            for name, domain in self._domains.items():
+                while _is_instant(domain, model):
+                    self._take(name, model)
+
+    def _take(self, name: str, model: routing_table.Model) -> None:
+        self._domains[name].take(model)
+        self._counts[model.name] += 1
+        self.wanted[name].append(model.name)
+
+
+def count_groups(
+    domains: abc.Mapping[str, Domain],
+) -> collections.Counter[str]:
+    """Return the groups of all domains by model."""
+    counts: collections.Counter[str] = collections.Counter()
+    for domain in domains.values():
+        counts.update(domain.grouped)
+    return counts
+
+
+def count_vms(
+    models: abc.Sequence[routing_table.Model],
+    domains: abc.Mapping[str, Domain],
+) -> int:
+    """Return the VMs of all domains, those in groups too."""
+    counts = count_groups(domains)
+    free = sum(len(domain.free) for domain in domains.values())
+    return free + sum(model.size * counts[model.name] for model in models)
+
+
+def choose_staged(
+    models: abc.Sequence[routing_table.Model],
+    lacking: abc.Container[str],
+    staged: abc.Mapping[str, int],
+) -> routing_table.Model | None:
+    """Return the model that a free VM without weights should load.
+
+    Parameters
+    ----------
+    lacking : container of str
+        Models of which the fleet has too few groups.
+    staged : mapping
+        Free VMs of the domain by the model that they hold.
+    """
+
+    def rate(model: routing_table.Model) -> tuple[float, bool, float, str]:
+        part = staged.get(model.name, 0) % model.size / model.size
+        return (part, model.name in lacking, need(model), model.name)
+
+    return max(models, key=rate, default=None)
--- /dev/null
+++ b/src/sycamorespool/decisions/assembly.py
@@ -0,0 +1,283 @@
+"""Orders by which the owner of a fabric domain keeps its groups whole.
+
+Model engines keep their own membership and say it in reports, so nothing
+has to be agreed on beside them: the owner reads the state back, compares
+and orders.  Fencing numbers and expected counts at the engines keep late
+and former owners out::
+
+    orders = plan(view, memory, wanted=["m0"])
+
+Two things must never be: a group that opens before every member was ready
+in it, and a VM that joins another group while the head of its own may
+still run requests.
+"""
+
+from collections import abc
+import dataclasses
+
+from sycamorespool import backends
+from sycamorespool.decisions import group_views
+from sycamorespool.decisions import order_drafts
+from sycamorespool import routing_table
+
+
+@dataclasses.dataclass(slots=True)
+class _Group:
+    """A group as its members describe it."""
+
+    name: str
+    epoch: int
+    model: routing_table.Model | None
+    members: dict[int, str] = dataclasses.field(default_factory=dict)
+
+
+def plan(
+    view: group_views.DomainView,
+    memory: group_views.Memory,
+    choose_models: abc.Callable[[list[frozenset[str]]], abc.Sequence[str]],
+    lacking: abc.Container[str] = frozenset(),
+) -> order_drafts.Plan:
+    """Return the next orders and update the memory in place.
+
+    Parameters
+    ----------
+    choose_models : callable
+        Takes the models staged at each free VM and returns the models to
+        form groups for.
+    lacking : container of str
+        Models of which the fleet has too few groups.
+    """
+    step = _Step(view, memory)
+    step.judge_groups()
+    wanted = choose_models([vm.staged for vm in step.free.values()])
+    step.form_groups(wanted)
+    step.stage_free(lacking)
+    return step.finish()
+
+
+class _Step(order_drafts.OrderDraft):
+    """The judgement of each group, within one plan."""
+
+    def _list_groups(self) -> list[_Group]:
+        groups: dict[tuple[str, int], _Group] = {}
+        engine = self.view.engine
+        for vm_id, vm in self.view.vms.items():
+            member = vm.membership
+            if member is None:
+                continue
+            key = (member.group, member.epoch)
+            if key not in groups:
+                model = engine.find_model(
+                    group_views.model_of_group(member.group)
+                )
+                groups[key] = _Group(*key, model)
+            groups[key].members[member.rank] = vm_id
+        return list(groups.values())
+
+    def judge_groups(self) -> None:
+        """Decide for each group whether it goes on, opens or ends."""
+        named = set()
+        for group in self._list_groups():
+            named.add(group.name)
+            self._judge(group)
+        self._judge_formations(named)
+
+    def _judge(self, group: _Group) -> None:
+        head_id = group.members.get(0)
+        if head_id is not None:
+            self.memory.heads[group.name] = head_id
+        head = self.view.vms.get(head_id) if head_id else None
+        if head is None and self._is_forming(group):
+            self._go_on_forming(group)
+            return
+        if head is None and self._has_head_left(group):
+            self._forget(group)
+            return
+        if head is None or group_views.is_lost(head, self.view):
+            self._end_headless(group)
+            return
+        state = head.membership.state if head.membership else None
+        if state is backends.MemberState.BROKEN:
+            self._forget(group)
+            return
+        if self._is_whole(group):
+            self._keep_whole(group, head, state)
+        elif state in group_views.RUNNING:
+            self._end_running(group, head, state)
+        elif self._is_forming(group):
+            self._go_on_forming(group)
+        else:
+            self._end_idle(group, head)
+
+    def _has_head_left(self, group: _Group) -> bool:
+        """Tell whether the former head said that it is in no such group."""
+        head = self.view.vms.get(self.memory.heads.get(group.name, ""))
+        if head is None or head.misses or head.report is None:
+            return False
+        return self.view.now_s - head.report_s <= group_views.REPORT_FRESH_S
+
+    def _end_idle(self, group: _Group, head: group_views.VmView) -> None:
+        """End a group that is not open.
+
+        Its head leaves first: an order to open it, of a former owner or
+        one that lands late, may still be on its way, and its members may
+        join no other group while it runs.
+        """
+        self._hold_members(group)
+        self.is_settled = False
+        self.send(
+            backends.Order(
+                head.backend.backend_id,
+                backends.OrderKind.LEAVE,
+                group.name,
+                group.epoch,
+            )
+        )
+
+    def _is_whole(self, group: _Group) -> bool:
+        if group.model is None or len(group.members) != group.model.size:
+            return False
+        vms = [self.view.vms[vm_id] for vm_id in group.members.values()]
+        return not any(
+            group_views.is_lost(vm, self.view)
+            or group_views.is_leaving(vm)
+            or vm.membership.state is backends.MemberState.BROKEN
+            for vm in vms
+        )
+
+    def _is_forming(self, group: _Group) -> bool:
+        """Tell whether further members may still join."""
+        formation = self.memory.formations.get(group.name)
+        if formation is None or group.model is None:
+            return False
+        if any(self._has_failed(vm_id) for vm_id in formation.members):
+            return False
+        return self.view.now_s - formation.began_s < group_views.JOIN_SLACK_S
+
+    def _go_on_forming(self, group: _Group) -> None:
+        self._hold_members(group)
+        self.is_settled = False
+        formation = self.memory.formations[group.name]
+        for vm_id in set(formation.members) - set(group.members.values()):
+            # One that names a group by now was ordered by another owner.
+            if self.view.vms[vm_id].membership is None:
+                join = order_drafts.make_join(
+                    vm_id, group.name, group.epoch, formation
+                )
+                self.send(join)
+
+    def _has_failed(self, vm_id: str) -> bool:
+        vm = self.view.vms.get(vm_id)
+        return (
+            vm is None
+            or group_views.is_lost(vm, self.view)
+            or group_views.is_leaving(vm)
+        )
+
+    def _keep_whole(
+        self,
+        group: _Group,
+        head: group_views.VmView,
+        state: backends.MemberState | None,
+    ) -> None:
+        self._hold_members(group)
+        if state in group_views.RUNNING:
+            self.memory.formations.pop(group.name, None)
+            return
+        ready = all(
+            self._is_affirmed(vm_id) for vm_id in group.members.values()
+        )
+        if ready:
+            self.is_settled = False
+            self.send(
+                backends.Order(
+                    head.backend.backend_id,
+                    backends.OrderKind.OPEN,
+                    group.name,
+                    group.epoch,
+                )
+            )
+
+    def _is_affirmed(self, vm_id: str) -> bool:
+        vm = self.view.vms[vm_id]
+        member = vm.report.membership if vm.report else None
+        is_fresh = self.view.now_s - vm.report_s <= group_views.REPORT_FRESH_S
+        return (
+            member is not None
+            and is_fresh
+            and not vm.misses
+            and member.state is backends.MemberState.READY
+        )
+
+    def _end_running(
+        self,
+        group: _Group,
+        head: group_views.VmView,
+        state: backends.MemberState | None,
+    ) -> None:
+        """End a group whose head may run requests without a member."""
+        self._hold_members(group)
+        self.is_settled = False
+        vms = [self.view.vms[vm_id] for vm_id in group.members.values()]
+        is_full = group.model and len(group.members) == group.model.size
+        is_cut = not is_full or any(
+            group_views.is_lost(vm, self.view) for vm in vms
+        )
+        kind = backends.OrderKind.LEAVE if is_cut else backends.OrderKind.CLOSE
+        is_closing = state is backends.MemberState.CLOSING
+        if kind is backends.OrderKind.CLOSE and is_closing:
+            return
+        self.send(
+            backends.Order(
+                head.backend.backend_id, kind, group.name, group.epoch
+            )
+        )
+
+    def _end_headless(self, group: _Group) -> None:
+        """End a group whose head cannot be asked.
+
+        The head may be well and only cut off, so its members leave and are
+        kept until it must have stopped.
+        """
+        self.is_settled = False
+        until_s = (
+            self.view.now_s + self.view.stall_s + group_views.STALL_SLACK_S
+        )
+        for rank, vm_id in group.members.items():
+            if rank == 0:
+                self.free.pop(vm_id, None)
+                continue
+            vm = self.view.vms[vm_id]
+            member = vm.membership
+            self.free.pop(vm_id, None)
+            if member and member.state in group_views.JOINED:
+                self.memory.held_until_s[vm_id] = until_s
+            self.send(
+                backends.Order(
+                    vm_id, backends.OrderKind.LEAVE, group.name, group.epoch
+                )
+            )
+
+    def _judge_formations(self, named: set[str]) -> None:
+        for name, formation in list(self.memory.formations.items()):
+            age_s = self.view.now_s - formation.began_s
+            if name in named and age_s < group_views.JOIN_SLACK_S:
+                continue
+            failed = any(self._has_failed(i) for i in formation.members)
+            if failed or age_s >= group_views.JOIN_SLACK_S:
+                del self.memory.formations[name]
+                continue
+            # No member has said yet that it joins.
+            epoch = int(name.rpartition(group_views.NAME_MARK)[2])
+            self._go_on_forming(_Group(name, epoch, None))
+
+    def _hold_members(self, group: _Group) -> None:
+        for vm_id in group.members.values():
+            self.free.pop(vm_id, None)
+        formation = self.memory.formations.get(group.name)
+        for vm_id in formation.members if formation else ():
+            self.free.pop(vm_id, None)
+
+    def _forget(self, group: _Group) -> None:
+        self.memory.formations.pop(group.name, None)
+        self.is_settled = False
--- /dev/null
+++ b/src/sycamorespool/decisions/order_drafts.py
@@ -0,0 +1,185 @@
+"""The orders of one plan in the making, and how new groups are begun."""
+
+import collections
+from collections import abc
+import dataclasses
+import math
+
+from sycamorespool import backends
+from sycamorespool.decisions import allotment
+from sycamorespool.decisions import group_views
+from sycamorespool import routing_table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What the owner does next.
+
+    Parameters
+    ----------
+    orders : tuple of Order
+        To be sent at once.
+    loads : int
+        How many of them make a VM load from the weight store.
+    is_settled : bool
+        Whether no change is expected within a moment.
+    """
+
+    orders: tuple[backends.Order, ...]
+    loads: int
+    is_settled: bool
+
+
+def make_join(
+    vm_id: str, group: str, epoch: int, formation: group_views.Formation
+) -> backends.Order:
+    """Return the order by which a VM joins a group."""
+    return backends.Order(
+        vm_id,
+        backends.OrderKind.JOIN,
+        group,
+        epoch,
+        formation.model,
+        formation.members,
+    )
+
+
+class OrderDraft:
+    """One plan in the making.
+
+    Parameters
+    ----------
+    view : DomainView
+        What the owner knows.
+    memory : Memory
+        What it remembers; updated in place.
+
+    Attributes
+    ----------
+    free : dict
+        VMs that may join a group, by id.
+    loads : int
+        Loads from the weight store that the orders begin.
+    is_settled : bool
+        Whether no change is expected within a moment.
+    """
+
+    def __init__(
+        self, view: group_views.DomainView, memory: group_views.Memory
+    ) -> None:
+        self.view = view
+        self.memory = memory
+        self.orders: list[backends.Order] = []
+        self.loads = 0
+        self.is_settled = True
+        if memory.fence != view.fence:
+            memory.fence = view.fence
+            memory.sequence = 0
+        self.free = {
+            vm_id: vm
+            for vm_id, vm in view.vms.items()
+            if self._is_usable(vm_id, vm)
+        }
+
+    def _is_usable(self, vm_id: str, vm: group_views.VmView) -> bool:
+        if vm.misses or vm.report is None or group_views.is_leaving(vm):
+            return False
+        now_s = self.view.now_s
+        is_fresh = now_s - vm.report_s <= group_views.REPORT_FRESH_S
+        is_held = now_s < self.memory.held_until_s.get(vm_id, -math.inf)
+        return is_fresh and not is_held
+
+    def form_groups(self, wanted: abc.Sequence[str]) -> None:
+        """Have free VMs join new groups."""
+        for name in wanted:
+            model = self.view.engine.find_model(name)
+            if model is not None and len(self.free) >= model.size:
+                self._form(model)
+
+    def _form(self, model: routing_table.Model) -> None:
+        def rate(vm_id: str) -> tuple[bool, bool, str]:
+            vm = self.free[vm_id]
+            is_slow = bool(vm.report and vm.report.pace > 1.0)
+            return (is_slow, model.name not in vm.staged, vm_id)
+
+        chosen = sorted(self.free, key=rate)[: model.size]
+        loads = sum(model.name not in self.free[i].staged for i in chosen)
+        if loads > max(0, self.view.may_load - self.loads):
+            # What may be loaded now is staged; the group forms later.
+            for vm_id in chosen:
+                if model.name not in self.free[vm_id].staged:
+                    self._stage(vm_id, model)
+            return
+        self.loads += loads
+        self.memory.sequence += 1
+        epoch = (
+            self.view.fence * group_views.EPOCHS_PER_FENCE
+            + self.memory.sequence
+        )
+        name = group_views.name_group(model.name, epoch)
+        formation = group_views.Formation(
+            model.name, tuple(chosen), self.view.now_s
+        )
+        self.memory.formations[name] = formation
+        self.is_settled = False
+        for vm_id in chosen:
+            del self.free[vm_id]
+            self.send(make_join(vm_id, name, epoch, formation))
+
+    def stage_free(self, lacking: abc.Container[str]) -> None:
+        """Load weights on free VMs that have none, ahead of their use."""
+        models = self.view.engine.models
+        names = {model.name for model in models}
+        staged: collections.Counter[str] = collections.Counter()
+        for vm in self.free.values():
+            staged.update(vm.staged & names)
+        for vm_id, vm in self.free.items():
+            if vm.staged & names or vm.report is None or vm.report.is_busy:
+                continue
+            model = allotment.choose_staged(models, lacking, staged)
+            if model is not None:
+                staged[model.name] += 1
+                self._stage(vm_id, model)
+
+    def _stage(self, vm_id: str, model: routing_table.Model) -> None:
+        if self.loads >= self.view.may_load:
+            return
+        order = backends.Order(
+            vm_id, backends.OrderKind.STAGE, model=model.name
+        )
+        if self.send(order, model.load_s + group_views.JOIN_SLACK_S):
+            self.loads += 1
+
+    def send(
+        self,
+        order: backends.Order,
+        repeat_s: float = group_views.ORDER_REPEAT_S,
+    ) -> bool:
+        if group_views.is_lost(self.view.vms[order.backend_id], self.view):
+            return False
+        subject = order.group or order.model
+        key = (order.backend_id, order.kind.value, subject)
+        last_s = self.memory.sent.get(key, -math.inf)
+        if self.view.now_s - last_s < repeat_s:
+            return False
+        self.memory.sent[key] = self.view.now_s
+        self.orders.append(order)
+        return True
+
+    def finish(self) -> Plan:
+        """Return the plan and forget what is old."""
+        old_s = self.view.now_s - 10 * group_views.JOIN_SLACK_S
+        memory = self.memory
+        memory.sent = {k: s for k, s in memory.sent.items() if s > old_s}
+        named = {
+            vm.membership.group
+            for vm in self.view.vms.values()
+            if vm.membership is not None
+        }
+        memory.heads = {g: h for g, h in memory.heads.items() if g in named}
+        memory.held_until_s = {
+            vm_id: until_s
+            for vm_id, until_s in memory.held_until_s.items()
+            if until_s > self.view.now_s
+        }
+        return Plan(tuple(self.orders), self.loads, self.is_settled)
--- /dev/null
+++ b/src/sycamorespool/decisions/placing.py
@@ -0,0 +1,218 @@
+"""Which backend server gets a request.
+
+Each entry decides alone, from the registry and from what it has sent
+itself::
+
+    target = choose(scene, wish, now_s)
+
+The least loaded group goes first, one of the own data centre among
+equals.  A group whose streams all stand still is suspected before its
+owner has found out, and gets nothing while another can serve.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import math
+import typing as t
+
+from sycamorespool import backends
+from sycamorespool.decisions import group_views
+from sycamorespool.decisions import registry
+
+LEAST_SILENCE_S = 0.35
+SILENCE_PER_FIRST = 2.5
+FIRST_WEIGHT = 0.05
+OTHER_DATA_CENTRE_LOAD = 0.05
+SUSPECT_LOAD = 1000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Pulse:
+    """What an entry sees of one backend server.
+
+    Parameters
+    ----------
+    in_flight : int
+        Requests of this entry at the server.
+    waiting_since_s : float
+        When the server last sent a byte, or when the first request went
+        to it that it has not answered; infinite without requests.
+    movable : set
+        Handles of those requests that may go to another server.
+    """
+
+    in_flight: int = 0
+    waiting_since_s: float = math.inf
+    movable: set[t.Any] = dataclasses.field(default_factory=set)
+
+
+def begin(pulse: Pulse, now_s: float) -> None:
+    """Note that a request goes to a server."""
+    if not pulse.in_flight:
+        pulse.waiting_since_s = now_s
+    pulse.in_flight += 1
+
+
+def note_bytes(pulse: Pulse, now_s: float) -> None:
+    """Note that bytes came from a server."""
+    pulse.waiting_since_s = now_s
+
+
+def end(pulse: Pulse) -> None:
+    """Note that a request at a server is over."""
+    pulse.in_flight -= 1
+    if not pulse.in_flight:
+        pulse.waiting_since_s = math.inf
+
+
+def is_suspect(pulse: Pulse, silence_s: float, now_s: float) -> bool:
+    """Tell whether all requests at a server have been silent for long."""
+    return now_s - pulse.waiting_since_s > silence_s
+
+
+@dataclasses.dataclass(slots=True)
+class Scene:
+    """What a choice looks at.
+
+    Parameters
+    ----------
+    evacuated : set of str
+        Data centres that are to get nothing.
+    pulses : dict
+        What this entry sees of each server, by id.
+    blocked_until_s : dict
+        Servers that refused or failed lately, by id.
+    first_s : dict
+        Mean time to the first bytes of an answer, by service.
+    data_centre : str
+        That of this entry.
+    regions : mapping
+        Region by data centre.
+    """
+
+    registry: registry.Registry
+    data_centre: str
+    regions: abc.Mapping[str, str]
+    evacuated: set[str] = dataclasses.field(default_factory=set)
+    pulses: collections.defaultdict[str, Pulse] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(Pulse)
+    )
+    blocked_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    first_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def note_first(self, service: str, first_s: float) -> None:
+        """Take the time to the first bytes of an answer into the mean."""
+        mean = self.first_s.get(service, first_s)
+        self.first_s[service] = mean + FIRST_WEIGHT * (first_s - mean)
+
+    def find_silence_s(self, service: str) -> float:
+        """Return the silence from which a server is suspected.
+
+        It grows with the usual time to an answer, so that a fleet that is
+        slow under load is not taken for one that stands still.
+        """
+        usual_s = SILENCE_PER_FIRST * self.first_s.get(service, 0.0)
+        return max(LEAST_SILENCE_S, usual_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """What a request asks of a placement.
+
+    Parameters
+    ----------
+    model : str
+        The model asked for, empty for a plain service.
+    homes : frozenset of str
+        Regions that may serve it; empty for all.
+    excluded : frozenset of str
+        Servers that were tried already.
+    """
+
+    service: str
+    model: str = ""
+    homes: frozenset[str] = frozenset()
+    excluded: frozenset[str] = frozenset()
+
+
+def _list_heads(scene: Scene, wish: Wish) -> abc.Iterator[backends.Backend]:
+    known = scene.registry.servers
+    for group in scene.registry.groups_of(wish.service):
+        if group_views.model_of_group(group.name) != wish.model:
+            continue
+        head = known[group.head] if group.head else None
+        if head is None or head.membership.state is not _OPEN:
+            continue
+        if any(known[vm_id].is_draining for vm_id in group.members.values()):
+            continue
+        yield head
+
+
+_OPEN = backends.MemberState.OPEN
+
+
+def list_usable(
+    scene: Scene, wish: Wish, now_s: float
+) -> list[backends.Backend]:
+    """Return the servers that may get a request."""
+    if wish.model:
+        found = _list_heads(scene, wish)
+    else:
+        found = iter(scene.registry.servers_of(wish.service))
+    return [
+        backend
+        for backend in found
+        if not backend.is_draining
+        and backend.backend_id not in wish.excluded
+        and backend.data_centre not in scene.evacuated
+        and scene.blocked_until_s.get(backend.backend_id, 0.0) <= now_s
+        and (
+            not wish.homes
+            or scene.regions.get(backend.data_centre) in wish.homes
+        )
+    ]
+
+
+def choose(
+    scene: Scene,
+    wish: Wish,
+    now_s: float,
+    tie: float,
+    may_take: abc.Callable[[backends.Backend], bool],
+) -> backends.Backend | None:
+    """Return the server for a request, or None if there is none.
+
+    Parameters
+    ----------
+    tie : float
+        A random number in 0..1 that decides among equals.
+    may_take : callable
+        Whether a cold server bears one more request now.
+    """
+    usable = list_usable(scene, wish, now_s)
+    if not usable:
+        return None
+
+    silence_s = scene.find_silence_s(wish.service)
+
+    def rate(backend: backends.Backend) -> float:
+        pulse = scene.pulses.get(backend.backend_id)
+        load = pulse.in_flight / max(1, backend.slots) if pulse else 0.0
+        if backend.data_centre != scene.data_centre:
+            load += OTHER_DATA_CENTRE_LOAD
+        if pulse and is_suspect(pulse, silence_s, now_s):
+            load += SUSPECT_LOAD
+        return load
+
+    start = int(tie * len(usable))
+    ranked = sorted(usable[start:] + usable[:start], key=rate)
+    return next((b for b in ranked if may_take(b)), None)
+
+
+def forget(scene: Scene, backend_id: str) -> None:
+    """Drop what is known of a server that is gone."""
+    scene.blocked_until_s.pop(backend_id, None)
+    pulse = scene.pulses.get(backend_id)
+    if pulse is not None and not pulse.in_flight:
+        del scene.pulses[backend_id]
--- /dev/null
+++ b/src/sycamorespool/decisions/registry.py
@@ -0,0 +1,186 @@
+"""What an entry believes of the backend servers, from the registry.
+
+Entries are taken in the order of the platform's log.  A server whose entry
+is removed right after an outage of the registry is kept for a short time,
+as the entries of living servers come back by themselves::
+
+    take(registry, "i-1", backend, now_s)
+    groups = registry.groups_of("drafts")
+"""
+
+import collections
+import dataclasses
+import math
+
+from sycamorespool import backends
+
+# A living server is back in the registry about 2 s after an outage.
+REMOVAL_HOLD_S = 2.2
+OUTAGE_ECHO_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class Group:
+    """The members that name one group and epoch.
+
+    Parameters
+    ----------
+    members : dict
+        Ids of the backend servers by rank.
+    """
+
+    name: str
+    epoch: int
+    members: dict[int, str] = dataclasses.field(default_factory=dict)
+
+    @property
+    def head(self) -> str | None:
+        """Id of the head, None if it does not name the group."""
+        return self.members.get(0)
+
+
+@dataclasses.dataclass(slots=True)
+class Registry:
+    """The newest entry of each backend server.
+
+    Parameters
+    ----------
+    heard_s : dict
+        When an entry was last written anew, as seen here.
+    cold_until_s : dict
+        When a server bears its full load, by id.
+    removals : dict
+        When a removed entry is forgotten, by id.
+    outage_end_s : float
+        When the registry was last found back after an outage.
+    generation : int
+        Raised with each change but a heartbeat.
+    """
+
+    servers: dict[str, backends.Backend] = dataclasses.field(
+        default_factory=dict
+    )
+    heard_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    cold_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    removals: dict[str, float] = dataclasses.field(default_factory=dict)
+    outage_end_s: float = -math.inf
+    generation: int = 0
+    _index: dict[str, list[Group]] = dataclasses.field(default_factory=dict)
+    _plain: dict[str, list[backends.Backend]] = dataclasses.field(
+        default_factory=dict
+    )
+    _indexed: int = -1
+
+    def groups_of(self, service: str) -> list[Group]:
+        """Return the groups that members of a service name."""
+        self._refresh()
+        return self._index.get(service, [])
+
+    def servers_of(self, service: str) -> list[backends.Backend]:
+        """Return the backend servers of a service."""
+        self._refresh()
+        return self._plain.get(service, [])
+
+    def _refresh(self) -> None:
+        if self._indexed == self.generation:
+            return
+        self._indexed = self.generation
+        self._index.clear()
+        self._plain.clear()
+        found: dict[tuple[str, str, int], Group] = {}
+        for backend in self.servers.values():
+            self._plain.setdefault(backend.service, []).append(backend)
+            member = backend.membership
+            if member is None:
+                continue
+            key = (backend.service, member.group, member.epoch)
+            group = found.get(key)
+            if group is None:
+                group = found[key] = Group(member.group, member.epoch)
+                self._index.setdefault(backend.service, []).append(group)
+            group.members[member.rank] = backend.backend_id
+
+
+def note_outage_end(registry: Registry, now_s: float) -> None:
+    """Note that the registry can be read again."""
+    registry.outage_end_s = now_s
+
+
+def take(
+    registry: Registry,
+    backend_id: str,
+    backend: backends.Backend | None,
+    now_s: float,
+) -> None:
+    """Take in an entry, or its removal if there is none."""
+    if backend is None:
+        _remove(registry, backend_id, now_s)
+        return
+    before = registry.servers.get(backend_id)
+    if before is not None and backend.born_ms < before.born_ms:
+        return
+    registry.heard_s[backend_id] = now_s
+    registry.removals.pop(backend_id, None)
+    if backend.cold_left_s > 0:
+        registry.cold_until_s[backend_id] = now_s + backend.cold_left_s
+    registry.servers[backend_id] = backend
+    if before is None or not _is_heartbeat(before, backend):
+        registry.generation += 1
+
+
+def _is_heartbeat(before: backends.Backend, after: backends.Backend) -> bool:
+    return (
+        dataclasses.replace(
+            after,
+            sequence=before.sequence,
+            cold_left_s=before.cold_left_s,
+        )
+        == before
+    )
+
+
+def _remove(registry: Registry, backend_id: str, now_s: float) -> None:
+    if backend_id not in registry.servers:
+        return
+    if now_s - registry.outage_end_s <= OUTAGE_ECHO_S:
+        until_s = max(now_s, registry.outage_end_s + REMOVAL_HOLD_S)
+        registry.removals.setdefault(backend_id, until_s)
+    else:
+        registry.removals[backend_id] = now_s
+    forget_removed(registry, now_s)
+
+
+def forget_removed(registry: Registry, now_s: float) -> list[str]:
+    """Forget the servers whose removal is due; return their ids."""
+    due = [i for i, s in registry.removals.items() if s <= now_s]
+    for backend_id in due:
+        del registry.removals[backend_id]
+        registry.servers.pop(backend_id, None)
+        registry.heard_s.pop(backend_id, None)
+        registry.cold_until_s.pop(backend_id, None)
+        registry.generation += 1
+    return due
+
+
+def replace_all(
+    registry: Registry,
+    entries: dict[str, backends.Backend],
+    now_s: float,
+) -> None:
+    """Take in the whole registry, as after its history was lost."""
+    for backend_id in list(registry.servers):
+        if backend_id not in entries:
+            _remove(registry, backend_id, now_s)
+    for backend_id, backend in entries.items():
+        take(registry, backend_id, backend, now_s)
+
+
+def list_domains(
+    registry: Registry, service: str
+) -> dict[str, list[backends.Backend]]:
+    """Return a service's backend servers by fabric domain."""
+    domains: dict[str, list[backends.Backend]] = collections.defaultdict(list)
+    for backend in registry.servers_of(service):
+        if backend.domain:
+            domains[backend.domain].append(backend)
+    return dict(domains)
--- a/src/sycamorespool/decisions/retries.py
+++ b/src/sycamorespool/decisions/retries.py
@@ -61,14 +61,22 @@
     ----------
     deadline_s : float
         When the call has to have its final answer.
-    may_have_run : bool
-        Whether any of its tries may have run.
+    runs : int
+        Tries that may have run.
+    max_runs : int
+        How many of its tries may run at most.
     """
 
     is_idempotent: bool
     deadline_s: float
     tries: int = 0
-    may_have_run: bool = False
+    runs: int = 0
+    max_runs: int = MAX_TRIES
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any of its tries may have run."""
+        return self.runs > 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,11 +84,22 @@
     """Retries that a workspace may still make at this entry.
 
     Each request adds ``ratio`` of a retry.  What is saved is bounded by
-    the requests of the last one to two minutes, so that a busy workspace
+    the requests of the last one to two windows, so that a busy workspace
     can move all it had in a lost data centre, once.
+
+    Parameters
+    ----------
+    saved : float
+        Retries that may be made now.
+    reserve : float
+        Retries that may be saved without any request.
+    window_s : float
+        The time over which requests are counted.
     """
 
     saved: float = BUDGET_RESERVE
+    reserve: float = BUDGET_RESERVE
+    window_s: float = BUDGET_WINDOW_S
     window_began_s: float = 0.0
     requests: int = 0
     requests_before: int = 0
@@ -88,13 +107,13 @@
 
 def count_request(budget: RetryBudget, ratio: float, now_s: float) -> None:
     """Add the part of a retry that one request brings."""
-    if now_s - budget.window_began_s >= BUDGET_WINDOW_S:
+    if now_s - budget.window_began_s >= budget.window_s:
         budget.window_began_s = now_s
         budget.requests_before = budget.requests
         budget.requests = 0
     budget.requests += 1
     recent = max(budget.requests, budget.requests_before)
-    limit = BUDGET_RESERVE + ratio * recent
+    limit = budget.reserve + ratio * recent
     budget.saved = min(limit, budget.saved + ratio)
 
 
@@ -113,7 +132,9 @@
 def can_go_on(call: CallTries, cut: Cut, now_s: float) -> bool:
     """Tell whether a further try is allowed, budget aside."""
     is_left = call.tries + 1 < MAX_TRIES and now_s < call.deadline_s
+    runs = call.runs + (cut not in HARMLESS)
     may_repeat = call.is_idempotent or not call.may_have_run
+    may_repeat = may_repeat and runs < call.max_runs
     is_allowed = ALLOWED[call.is_idempotent, cut] in GOING_ON
     return is_left and may_repeat and is_allowed
 
@@ -124,7 +145,7 @@
     """Note a cut and return what follows."""
     goes_on = can_go_on(call, cut, now_s)
     call.tries += 1
-    call.may_have_run = call.may_have_run or cut not in HARMLESS
+    call.runs += cut not in HARMLESS
     if goes_on and _take_retry(budget):
         return ALLOWED[call.is_idempotent, cut]
     return conclude(call)
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -216,13 +216,15 @@
         Stable code of the cause, as listed in the error reference.
     detail : str
         One sentence for the caller.
+    status : int
+        HTTP status of the answer.
     """
 
-    def __init__(self, code: str, detail: str) -> None:
+    def __init__(self, code: str, detail: str, status: int = 502) -> None:
         super().__init__(detail)
         self.code = code
         self.detail = detail
-        self.status = 502
+        self.status = status
 
 
 class CallerStalled(RequestError):
--- /dev/null
+++ b/src/sycamorespool/hosted.py
@@ -0,0 +1,134 @@
+"""The daemon on a hosted platform: an entry, wired from its parts."""
+
+import pathlib
+import signal
+
+import trio
+
+from sycamorespool import asgi
+from sycamorespool.callers import server
+from sycamorespool import domain_owner
+from sycamorespool import exceptions
+from sycamorespool import followers
+from sycamorespool import forwarding
+from sycamorespool import front
+from sycamorespool import logs
+from sycamorespool import metrics_page
+from sycamorespool import node_settings
+from sycamorespool.platform import headers
+from sycamorespool import router as routers
+
+# The balancer asks once a second and takes an entry out after two misses.
+BALANCER_NOTICE_S = 2.3
+# Left of the time to stop for closing connections and the exit.
+EXIT_RESERVE_S = 0.8
+SETTINGS_CHECK_S = 1.0
+
+log = logs.make_logger("entry")
+
+
+def _make_readiness(router: routers.Router) -> asgi.App:
+    async def app(
+        scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        is_known = scope["path"] == headers.READY_PATH
+        ready_status = 200 if router.is_ready() else 503
+        status = ready_status if is_known else 404
+        await asgi.send_response(send, asgi.Response(status))
+
+    return app
+
+
+async def _stop_on_signal(router: routers.Router, stop: trio.Event) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            break
+    log.info("stopping", open=router.requests_open)
+    router.is_stopping = True
+    limit_s = router.settings.bounds.stop_s - EXIT_RESERVE_S
+    with trio.move_on_after(limit_s):
+        await followers.give_up_share(router)
+        await trio.sleep(BALANCER_NOTICE_S)
+        stop.set()
+        await router.wait_until_idle()
+    stop.set()
+    log.info("stopped", open=router.requests_open)
+
+
+def _reload(router: routers.Router, path: str) -> None:
+    try:
+        chosen = node_settings.load(path)
+    except exceptions.SettingsError as error:
+        log.error("settings not reloaded", file=path, error=error)
+        return
+    changes = node_settings.find_changes(router.settings, chosen)
+    router.settings = chosen
+    log.info("settings reloaded", file=path, name=",".join(changes))
+
+
+async def _reload_on_signal(router: routers.Router, path: str) -> None:
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            _reload(router, path)
+
+
+async def _reload_on_change(router: routers.Router, path: str) -> None:
+    """Reload the settings when their file changes without a signal."""
+    changed_ns = _find_change_ns(path)
+    while True:
+        await trio.sleep(SETTINGS_CHECK_S)
+        found_ns = _find_change_ns(path)
+        if found_ns not in (0, changed_ns):
+            changed_ns = found_ns
+            _reload(router, path)
+
+
+def _find_change_ns(path: str) -> int:
+    try:
+        return pathlib.Path(path).stat().st_mtime_ns
+    except OSError:
+        # It is being replaced; the next look finds it again.
+        return 0
+
+
+async def run(path: str) -> None:
+    """Run an entry with the settings of a file until it is told to stop.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is not acceptable.
+    """
+    chosen = node_settings.load(path)
+    router = routers.make_router(chosen)
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        start = nursery.start_soon
+        start(_reload_on_signal, router, path)
+        start(_reload_on_change, router, path)
+        start(followers.follow_config, router)
+        start(followers.follow_registry, router)
+        start(followers.hold_share, router)
+        start(domain_owner.run, router)
+        start(forwarding.move_from_still_servers, router)
+        for app, address in (
+            (_make_readiness(router), chosen.listen.readiness),
+            (metrics_page.make_app(router), chosen.listen.metrics),
+        ):
+            start(server.serve, app, address, chosen.limits, trio.Event())
+        start(_stop_on_signal, router, stop)
+        log.info(
+            "started",
+            name=router.name,
+            incarnation=router.incarnation,
+            count=chosen.platform.partitions,
+        )
+        await server.serve(
+            front.CallersApp(router),
+            chosen.listen.callers,
+            chosen.limits,
+            stop,
+            grace_s=chosen.bounds.stop_s,
+        )
+        nursery.cancel_scope.cancel()
+    log.info("ended", name=router.name)
--- a/src/sycamorespool/logs.py
+++ b/src/sycamorespool/logs.py
@@ -15,6 +15,11 @@
 import contextlib
 import contextvars
 import dataclasses
+import logging as standard_logging
+import os
+import select
+import time
+import traceback
 import types
 
 from absl import flags
@@ -60,6 +65,10 @@
     ]
 )
 MAX_VALUE_CHARS = 200
+LINES_PER_S = 300
+# A pipe takes so many bytes at once or none.
+MAX_LINE_BYTES = 4096
+MAX_TRACEBACK_CHARS = 2000
 
 _NO_IDS: types.MappingProxyType[str, str] = types.MappingProxyType({})
 _context: contextvars.ContextVar[abc.Mapping[str, str]] = (
@@ -146,6 +155,71 @@
     return Logger(prefix)
 
 
+class BoundedHandler(standard_logging.Handler):
+    """Writes lines to a descriptor, without ever waiting for its reader.
+
+    Lines over :data:`LINES_PER_S` and lines that the reader has no room
+    for are dropped; the next line that is written says how many.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where to write.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._left = float(LINES_PER_S)
+        self._filled_s = time.monotonic()
+        self.dropped = 0
+
+    def _take_room(self, now_s: float) -> bool:
+        self._left += (now_s - self._filled_s) * LINES_PER_S
+        self._left = min(self._left, 2.0 * LINES_PER_S)
+        self._filled_s = now_s
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Write one line, or count it as dropped."""
+        if not self._take_room(time.monotonic()) or not self._poll.poll(0):
+            self.dropped += 1
+            return
+        lost = f" dropped_before={self.dropped}" if self.dropped else ""
+        self.dropped = 0
+        line = f"{_LETTERS.get(record.levelno, '?')} {record.getMessage()}"
+        if record.exc_info:
+            text = "".join(traceback.format_exception(*record.exc_info))
+            line += f" traceback={text[-MAX_TRACEBACK_CHARS:]!r}"
+        data = f"{line}{lost}\n".encode(errors="replace")
+        try:
+            os.write(self._descriptor, data[:MAX_LINE_BYTES])
+        except OSError:
+            # Nobody reads: there is no other place to say so.
+            self.dropped += 1
+
+
+_LETTERS = {
+    standard_logging.DEBUG: "D",
+    standard_logging.INFO: "I",
+    standard_logging.WARNING: "W",
+    standard_logging.ERROR: "E",
+}
+
+
+def set_up_stdout() -> None:
+    """Send lines to standard output, bounded and never waiting."""
+    flags.FLAGS(["sycamorespool"])
+    root = standard_logging.getLogger()
+    root.handlers[:] = [BoundedHandler(1)]
+    logging.set_verbosity(logging.INFO)
+
+
 def set_up(verbosity: int = logging.INFO) -> None:
     """Send lines to standard error by absl's handler."""
     # absl has flags of its own; the command line here is Fire's.
--- /dev/null
+++ b/src/sycamorespool/node_settings.py
@@ -0,0 +1,123 @@
+"""Settings of an entry on a hosted platform, from an INI file.
+
+The platform renders the file from ``deploy/entry.ini`` at every start and
+whenever a setting changes.
+"""
+
+import msgspec
+
+from sycamorespool import settings
+
+DEFAULT_LIMITS = settings.LimitsSection()
+
+
+class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who the entry is and where it stands.
+
+    Parameters
+    ----------
+    regions : str
+        Data centres with their regions, as ``dc-1:west,dc-2:east``.
+    """
+
+    name: settings.Name
+    data_centre: settings.Name
+    regions: str = ""
+
+
+class ListenSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses, as ``IP:port``, at which the entry listens."""
+
+    callers: settings.Address
+    readiness: settings.Address
+    metrics: settings.Address
+
+
+class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's store.
+
+    Parameters
+    ----------
+    partitions : int
+        Partitions of a topic.
+    least_ttl_ms : float
+        Least time after which a silent member of a group loses its part.
+    heartbeat_ms : float
+        Time between the heartbeats of a backend server.
+    """
+
+    address: settings.Address
+    partitions: settings.Count = 1
+    least_ttl_ms: float = 1000.0
+    heartbeat_ms: float = 1000.0
+
+
+class BoundsSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the operators hold the system to.
+
+    Parameters
+    ----------
+    revoke_ms : float
+        Time after which a key that was taken away opens nothing.
+    stop_s : float
+        Time from SIGTERM until the process is killed.
+    stall_ms : float
+        How long a group that lost a member stands still before it breaks.
+    retry_ratio, retry_extra, retry_window_s : float
+        Attempts beyond the first of each request that a service may get in
+        a window: a part of the requests, and so many more.
+    cold_over, cold_slack : float
+        A cold server may get so many times what it bears in a second, and
+        so many requests more.
+    load_over : float
+        The fleet may begin so many times the published loads a second.
+    load_window_s : float
+        Time over which these are counted.
+    """
+
+    revoke_ms: float = 5000.0
+    stop_s: settings.Seconds = 8.0
+    stall_ms: float = 4000.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 10.0
+    retry_window_s: float = 10.0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+    load_over: float = 1.0
+    load_window_s: float = 5.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of an entry on a hosted platform."""
+
+    entry: EntrySection
+    listen: ListenSection
+    platform: PlatformSection
+    bounds: BoundsSection = BoundsSection()
+    limits: settings.LimitsSection = DEFAULT_LIMITS
+
+
+def map_regions(entry: EntrySection) -> dict[str, str]:
+    """Return the region of each data centre."""
+    pairs = (pair.partition(":") for pair in entry.regions.split(","))
+    return {name.strip(): region.strip() for name, _, region in pairs if name}
+
+
+def load(path: str) -> Settings:
+    """Read the settings from a file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or is not acceptable.
+    """
+    return settings.load_as(path, Settings)
+
+
+def find_changes(before: Settings, after: Settings) -> list[str]:
+    """Return the names of the sections that differ."""
+    return [
+        field.name
+        for field in msgspec.structs.fields(Settings)
+        if getattr(before, field.name) != getattr(after, field.name)
+    ]
--- /dev/null
+++ b/src/sycamorespool/platform/engines.py
@@ -0,0 +1,61 @@
+"""Asks model engines for their state and gives them orders."""
+
+import httpcore
+
+from sycamorespool import backends
+from sycamorespool import exceptions
+from sycamorespool import http_client
+from sycamorespool.platform import wire
+
+REPORT_TIMEOUT_S = 0.45
+ORDER_TIMEOUT_S = 1.0
+
+
+async def fetch_report(
+    pool: httpcore.AsyncConnectionPool, address: str
+) -> backends.Report:
+    """Ask a model engine for its state.
+
+    Raises
+    ------
+    BackendNotReached, BackendCut
+        If there was no report.
+    """
+    try:
+        answer = await http_client.exchange(
+            pool,
+            "GET",
+            f"http://{address}/api/report",
+            timeout_s=REPORT_TIMEOUT_S,
+        )
+    except http_client.NotReached as error:
+        raise exceptions.BackendNotReached(str(error)) from error
+    except http_client.ExchangeFailed as error:
+        raise exceptions.BackendCut(str(error)) from error
+    if answer.status != 200:
+        raise exceptions.BackendCut(f"report: {answer.status}")
+    return wire.decode_report(answer.body)
+
+
+async def send_order(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    order: backends.Order,
+    fence: int,
+    expected_orders: int | None,
+) -> backends.OrderOutcome:
+    """Give a model engine an order and return what became of it."""
+    body = wire.encode_order(order, fence, expected_orders)
+    try:
+        answer = await http_client.exchange(
+            pool,
+            "POST",
+            f"http://{address}/api/order",
+            body,
+            ORDER_TIMEOUT_S,
+        )
+    except http_client.NotReached:
+        return backends.OrderOutcome.REFUSED
+    except http_client.ExchangeFailed:
+        return backends.OrderOutcome.UNKNOWN
+    return wire.OUTCOMES.get(answer.status, backends.OrderOutcome.REFUSED)
--- /dev/null
+++ b/src/sycamorespool/platform/headers.py
@@ -0,0 +1,139 @@
+"""Translates the headers of a hosted platform's requests and answers."""
+
+from collections import abc
+import math
+
+from sycamorespool import inbound
+
+ATTEMPT = "sycamorespool-attempt-id"
+DEADLINE = "sycamorespool-deadline-ms"
+MODEL = "sycamorespool-model"
+EXPECT_SERVER = "sycamorespool-expect-replica"
+WORKSPACE = "sycamorespool-tenant"
+PRIORITY = "sycamorespool-request-priority"
+NOT_RUN = "sycamorespool-not-executed"
+SIGNATURE = "sycamorespool-replica-signature"
+RESUME_AFTER = "last-event-id"
+KEY_SCHEME = "bearer"
+MISDIRECTED = 421
+READY_PATH = "/api/ready"
+LOWEST_PRIORITY = 9
+
+# Headers that concern one connection, or that are set anew.
+_OF_CONNECTION = frozenset(
+    [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+_NOT_PASSED_ON = _OF_CONNECTION | {
+    "authorization",
+    WORKSPACE,
+    PRIORITY,
+    EXPECT_SERVER,
+    ATTEMPT,
+    DEADLINE,
+}
+
+
+def _read_key(value: str) -> str:
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+
+def _read_deadline_s(value: str) -> float:
+    try:
+        return max(0.0, float(value) / 1000)
+    except ValueError:
+        return math.inf
+
+
+def decode_request(
+    method: str,
+    target: str,
+    pairs: abc.Iterable[tuple[bytes, bytes]],
+    body: bytes,
+) -> inbound.Inbound:
+    """Decode a caller's request."""
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in pairs
+    }
+    return inbound.Inbound(
+        attempt_id=headers.get(ATTEMPT, ""),
+        method=method,
+        host=headers.get("host", ""),
+        path=target.partition("?")[0],
+        target=target,
+        key=_read_key(headers.get("authorization", "")),
+        model=headers.get(MODEL, ""),
+        deadline_s=_read_deadline_s(headers.get(DEADLINE, "")),
+        resume_after=headers.get(RESUME_AFTER, ""),
+        headers={
+            name: value
+            for name, value in headers.items()
+            if name not in _NOT_PASSED_ON
+        },
+        body=body,
+    )
+
+
+def encode_request(
+    request: inbound.Inbound,
+    backend_id: str,
+    workspace: str,
+    priority: int | None,
+    left_s: float,
+    last_event: str,
+) -> dict[str, str]:
+    """Return the headers of a request to a backend server.
+
+    Parameters
+    ----------
+    workspace : str
+        Name of the workspace, empty on a public route.
+    priority : int, optional
+        Rank at a model engine, 0 first.
+    left_s : float
+        How long the answer is waited for.
+    last_event : str
+        Id of the last event that the caller has got, or empty.
+    """
+    headers = dict(request.headers)
+    headers[DEADLINE] = str(max(1, int(left_s * 1000)))
+    headers[EXPECT_SERVER] = backend_id
+    if workspace:
+        headers[WORKSPACE] = workspace
+    if priority is not None:
+        headers[PRIORITY] = str(min(priority, LOWEST_PRIORITY))
+    if last_event:
+        headers[RESUME_AFTER] = last_event
+    return headers
+
+
+def carry_answer(headers: abc.Mapping[str, str]) -> dict[str, str]:
+    """Return the headers of an answer that the caller gets."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in _OF_CONNECTION and name != "content-type"
+    }
+
+
+def is_refusal(status: int, headers: abc.Mapping[str, str]) -> bool:
+    """Tell whether an answer says that the request was not run."""
+    return status == MISDIRECTED or NOT_RUN in headers
+
+
+def is_signed(headers: abc.Mapping[str, str]) -> bool:
+    """Tell whether an answer bears a backend server's signature."""
+    return SIGNATURE in headers
--- /dev/null
+++ b/src/sycamorespool/platform/wire.py
@@ -0,0 +1,284 @@
+"""Decodes a hosted platform's configuration and registry into our types.
+
+Nothing here decides anything: a field that the platform names badly has a
+comment, and all names end here.
+"""
+
+from collections import abc
+import typing as t
+
+import msgspec
+
+from sycamorespool import backends
+from sycamorespool import exceptions
+from sycamorespool import routing_table
+
+CONFIG_TOPIC = "keyed.op"
+REGISTRY_TOPIC = "keyed.servers"
+CLAIM_TOPIC = "keyed.claims"
+CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+KINDS = {
+    "idempotent": routing_table.RequestKind.IDEMPOTENT,
+    "non_idempotent": routing_table.RequestKind.NON_IDEMPOTENT,
+    "streaming": routing_table.RequestKind.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    # The objective for the answer or, of a stream, for its first event.
+    slo_ms: float = 0.0
+    gap_aim_ms: float = 0.0
+    priority: int = 0
+    # Servers at which one request may run, not tries in a row.
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    allowed_regions: tuple[str, ...] = ()
+
+
+class _Model(msgspec.Struct):
+    name: str
+    size: int
+    pace: float = 1.0
+    share: float = 0.0
+    load_s: float = 0.0
+    warm_s: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    models: tuple[_Model, ...] = ()
+    loads_per_s: float = 0.0
+    form_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Member(msgspec.Struct):
+    # Absent or empty where the server belongs to no group.
+    name: str
+    epoch: int
+    rank: int
+    state: t.Literal["joining", "ready", "open", "closing", "broken"]
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: t.Literal["ready", "draining"]
+    slots: int = 1
+    cold_left_ms: float = 0.0
+    # Here a count of heartbeats; in a report it counts orders.
+    sequence: int = 0
+    domain: str | int | None = None
+    staged: tuple[str, ...] = ()
+    group: _Member | None = None
+    born: int = 0
+
+
+class _Report(msgspec.Struct):
+    sequence: int = 0
+    busy: bool = False
+    queued: int = 0
+    running: int = 0
+    pace: float = 1.0
+    staged: tuple[str, ...] = ()
+    group: _Member | None = None
+    born: int = 0
+
+
+def _decode_route(route: _Route) -> routing_table.Route:
+    targets = tuple((s.service, s.weight) for s in route.split)
+    return routing_table.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=KINDS[route.kind],
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.slo_ms / 1000,
+        gap_objective_s=route.gap_aim_ms / 1000,
+        priority=route.priority,
+        max_runs=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        targets=targets or ((route.service, 1.0),),
+        homes=frozenset(route.allowed_regions),
+    )
+
+
+def _decode_service(service: _Service) -> routing_table.Service:
+    engine = service.engine
+    return routing_table.Service(
+        service.name,
+        service.cold_s,
+        service.cold_per_s,
+        engine
+        and routing_table.Engine(
+            engine.slots,
+            tuple(
+                routing_table.Model(
+                    m.name, m.size, m.pace, m.share, m.load_s, m.warm_s
+                )
+                for m in engine.models
+            ),
+            engine.loads_per_s,
+            engine.form_ms / 1000,
+        ),
+    )
+
+
+def decode_config(value: bytes) -> routing_table.RoutingTable:
+    """Decode the operators' configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        If it is none.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = [_decode_route(route) for route in config.routes]
+    except (msgspec.MsgspecError, UnicodeError, KeyError) as error:
+        raise exceptions.ConfigurationError(str(error)) from error
+    by_host: dict[str, list[routing_table.Route]] = {}
+    for route in sorted(routes, key=lambda r: -len(r.prefix)):
+        by_host.setdefault(route.host, []).append(route)
+    tenants = config.tenants
+    return routing_table.RoutingTable(
+        config.version,
+        {host: tuple(found) for host, found in by_host.items()},
+        {s.name: _decode_service(s) for s in config.services},
+        {
+            key: routing_table.Workspace(
+                tenant.name,
+                tenant.priority,
+                frozenset(tenant.allowed_regions),
+            )
+            for tenant in tenants or ()
+            for key in tenant.api_keys
+        },
+        has_workspaces=tenants is not None,
+    )
+
+
+def _decode_member(group: _Member | None) -> backends.Membership | None:
+    if group is None:
+        return None
+    state = backends.MemberState(group.state)
+    return backends.Membership(group.name, group.epoch, group.rank, state)
+
+
+def decode_backend(backend_id: str, value: bytes) -> backends.Backend | None:
+    """Decode a registry entry; None if it names no server to use."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.MsgspecError, UnicodeError):
+        return None
+    domain = "" if entry.domain is None else str(entry.domain)
+    return backends.Backend(
+        backend_id,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.state == "draining",
+        entry.cold_left_ms / 1000,
+        domain,
+        frozenset(entry.staged),
+        _decode_member(entry.group),
+        entry.born,
+        entry.sequence,
+    )
+
+
+def decode_report(value: bytes) -> backends.Report:
+    """Decode a model engine's report.
+
+    Raises
+    ------
+    BackendCut
+        If it is none.
+    """
+    try:
+        report = msgspec.json.decode(value, type=_Report)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        raise exceptions.BackendCut(f"no report: {error}") from error
+    return backends.Report(
+        report.sequence,
+        report.busy,
+        report.queued,
+        report.running,
+        report.pace,
+        frozenset(report.staged),
+        _decode_member(report.group),
+        report.born,
+    )
+
+
+def encode_order(
+    order: backends.Order, fence: int, expected_orders: int | None
+) -> bytes:
+    """Encode an order.
+
+    Parameters
+    ----------
+    fence : int
+        Fencing number of who orders.
+    expected_orders : int, optional
+        Orders that the engine is to have begun before.
+    """
+    body: dict[str, t.Any] = {"op": order.kind.value, "fencing_token": fence}
+    if expected_orders is not None:
+        body["expect"] = expected_orders
+    if order.group:
+        body["group"] = order.group
+        body["epoch"] = order.epoch
+    if order.model:
+        body["model"] = order.model
+    if order.members:
+        body["members"] = order.members
+    if order.kind is backends.OrderKind.CLOSE:
+        body["mode"] = "wait"
+    return msgspec.json.encode(body)
+
+
+OUTCOMES: abc.Mapping[int, backends.OrderOutcome] = {
+    200: backends.OrderOutcome.DONE,
+    202: backends.OrderOutcome.BEGUN,
+    409: backends.OrderOutcome.UNFIT,
+    412: backends.OrderOutcome.FENCED,
+}
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -9,6 +9,7 @@
     await relay.copy_events(answer_from_token_17)
 """
 
+from collections import abc
 import dataclasses
 import typing as t
 
@@ -44,6 +45,25 @@
         """Read on to the end, if it comes soon."""
 
 
+class EventLog(t.Protocol):
+    """What is known of the events of a stream that were passed on."""
+
+    count: int
+    is_done: bool
+
+    def check_start(self, answer: Source) -> None:
+        """Raise BackendCut if an answer does not go on where it has to."""
+
+    def take(self, chunk: bytes) -> bytes:
+        """Take in a chunk and return the whole events to pass on."""
+
+    def end(self) -> None:
+        """Note that the answer is whole; raise BackendCut if it lacks."""
+
+    def forget_half(self) -> None:
+        """Drop half an event, which was not passed on."""
+
+
 @dataclasses.dataclass(slots=True)
 class Events:
     """The events of a streamed completion, as far as they were passed on.
@@ -92,11 +112,37 @@
             self.is_done = True
         return block
 
+    def check_start(self, answer: Source) -> None:
+        """Check that a stream begins at the token that is next.
+
+        Raises
+        ------
+        BackendCut
+            If it begins at another one.
+        """
+        start = answer.headers.get(RESUME_HEADER, "0")
+        if start != str(self.count):
+            raise exceptions.BackendCut(f"the stream begins at token {start}")
+
+    def end(self) -> None:
+        """Note that the answer ended.
+
+        Raises
+        ------
+        BackendCut
+            If the last event has not come.
+        """
+        raise exceptions.BackendCut("the stream has no last event")
+
     def forget_half(self) -> None:
         """Drop half an event, which was not passed on."""
         self._held = b""
 
 
+def _carry_nothing(headers: abc.Mapping[str, str]) -> dict[str, str]:
+    return {}
+
+
 class Relay:
     """The state of one answer towards a caller.
 
@@ -105,12 +151,20 @@
     send : asgi.Send
         Takes the answer.
     request_id : str
-        Returned to the caller in a header.
+        Id of the request.
+    events : EventLog, optional
+        Follows the events of a stream.
+    headers : dict, optional
+        Headers of every answer; by default one with the request's id.
+    carry : callable
+        Returns the headers of a backend server's answer that are passed on.
 
     Attributes
     ----------
-    events : Events
-        What the caller has got of a streamed completion.
+    events : EventLog
+        What the caller has got of a stream.
+    status : int
+        Status that the caller got, 0 before it.
     is_begun, is_whole : bool
         Whether anything was sent, after which no other answer can be
         given, and whether all was.
@@ -120,8 +174,18 @@
         How many parts there were.
     """
 
-    def __init__(self, send: asgi.Send, request_id: str) -> None:
-        self.events = Events()
+    def __init__(
+        self,
+        send: asgi.Send,
+        request_id: str,
+        events: EventLog | None = None,
+        headers: dict[str, str] | None = None,
+        carry: abc.Callable[
+            [abc.Mapping[str, str]], dict[str, str]
+        ] = _carry_nothing,
+    ) -> None:
+        self.events: EventLog = Events() if events is None else events
+        self.status = 0
         self.is_begun = False
         self.is_whole = False
         self.first_s = 0.0
@@ -129,12 +193,16 @@
         self.chunks = 0
         self.request_id = request_id
         self._send = send
-        self._headers = {REQUEST_ID_HEADER: request_id}
+        self._carry = carry
+        self._headers = (
+            {REQUEST_ID_HEADER: request_id} if headers is None else headers
+        )
 
     async def answer(self, response: asgi.Response) -> None:
         """Send an answer of the entry itself."""
         headers = {**response.headers, **self._headers}
         self.is_begun = True
+        self.status = response.status
         self.first_s = trio.current_time()
         await asgi.send_response(
             self._send, dataclasses.replace(response, headers=headers)
@@ -143,7 +211,7 @@
         self.last_s = trio.current_time()
 
     async def copy_events(self, answer: Source) -> None:
-        """Pass on a streamed completion, from the token reached before.
+        """Pass on a stream of events, from where it was reached before.
 
         Raises
         ------
@@ -157,11 +225,11 @@
         while not events.is_done:
             chunk = await answer.read()
             if not chunk:
-                raise exceptions.BackendCut("the stream has no last event")
-            block = events.take(chunk)
-            if block:
+                events.end()
+            block = events.take(chunk) if chunk else b""
+            if block or events.is_done:
                 await self._pass_on(
-                    answer.status, EVENT_STREAM, block, not events.is_done
+                    answer, EVENT_STREAM, block, not events.is_done
                 )
         await answer.finish()
 
@@ -169,9 +237,7 @@
         content_type = answer.headers.get("content-type", "")
         if not content_type.startswith(EVENT_STREAM):
             raise exceptions.BackendCut(f"{content_type!r} is no stream")
-        start = answer.headers.get(RESUME_HEADER, "0")
-        if start != str(self.events.count):
-            raise exceptions.BackendCut(f"the stream begins at token {start}")
+        self.events.check_start(answer)
 
     async def copy_whole(self, answer: Source, is_json: bool) -> None:
         """Pass on an answer that is no stream, whole or not at all.
@@ -191,27 +257,29 @@
             size += len(chunk)
             if size > MAX_HELD_BYTES:
                 held = b"".join(parts)
-                await self._pass_on(answer.status, content_type, held, True)
+                await self._pass_on(answer, content_type, held, True)
                 parts.clear()
         body = b"".join(parts)
         if is_json and not self.is_begun:
             _check_json(body)
-        await self._pass_on(answer.status, content_type, body, False)
+        await self._pass_on(answer, content_type, body, False)
 
     async def _pass_on(
-        self, status: int, content_type: str, body: bytes, is_more: bool
+        self, answer: Source, content_type: str, body: bytes, is_more: bool
     ) -> None:
         if not self.is_begun:
-            headers = asgi.encode_headers(content_type, self._headers)
+            carried = {**self._carry(answer.headers), **self._headers}
+            headers = asgi.encode_headers(content_type, carried)
             if not is_more:
                 length = str(len(body)).encode()
                 headers.append((b"content-length", length))
             self.is_begun = True
+            self.status = answer.status
             self.first_s = trio.current_time()
             await self._send(
                 {
                     "type": "http.response.start",
-                    "status": status,
+                    "status": answer.status,
                     "headers": headers,
                 }
             )
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -283,8 +283,10 @@
     return faults
 
 
-def _find_faults(sections: _Sections) -> _Faults:
-    models = t.get_type_hints(Settings)
+def _find_faults(
+    sections: _Sections, model_of_all: type[msgspec.Struct]
+) -> _Faults:
+    models = t.get_type_hints(model_of_all)
     faults = [
         exceptions.SettingsError(
             name, "section", f"unknown section; {_hint(name, models)}"
@@ -292,7 +294,7 @@
         for name in sections
         if name not in models
     ]
-    fields = {f.name: f for f in msgspec.structs.fields(Settings)}
+    fields = {f.name: f for f in msgspec.structs.fields(model_of_all)}
     for name, model in models.items():
         if name in sections:
             faults += _find_section_faults(name, model, sections[name])
@@ -306,8 +308,22 @@
     return faults + _find_shared_addresses(sections.get("listen", {}))
 
 
+_Model = t.TypeVar("_Model", bound=msgspec.Struct)
+
+
 def parse(text: str) -> Settings:
-    """Turn the text of an INI file into settings.
+    """Turn the text of an INI file into the settings of an entry.
+
+    Raises
+    ------
+    SettingsError
+        As for :func:`parse_as`.
+    """
+    return parse_as(text, Settings)
+
+
+def parse_as(text: str, model: type[_Model]) -> _Model:
+    """Turn the text of an INI file into settings of a kind.
 
     Raises
     ------
@@ -325,16 +341,27 @@
         )
         raise exceptions.SettingsError("file", "syntax", problem) from None
     sections = {name: dict(parser[name]) for name in parser.sections()}
-    faults = _find_faults(sections)
+    faults = _find_faults(sections, model)
     if len(faults) == 1:
         raise faults[0]
     if faults:
         raise exceptions.SettingsFaults(tuple(faults))
-    return msgspec.convert(sections, Settings, strict=False)
+    return msgspec.convert(sections, model, strict=False)
 
 
 def load(path: str) -> Settings:
-    """Read settings from a file.
+    """Read the settings of an entry from a file.
+
+    Raises
+    ------
+    SettingsError
+        As for :func:`load_as`.
+    """
+    return load_as(path, Settings)
+
+
+def load_as(path: str, model: type[_Model]) -> _Model:
+    """Read settings of a kind from a file.
 
     Raises
     ------
@@ -345,4 +372,4 @@
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise exceptions.SettingsError("file", path, str(error)) from error
-    return parse(text)
+    return parse_as(text, model)
--- a/src/sycamorespool/standins/engine.py
+++ b/src/sycamorespool/standins/engine.py
@@ -11,6 +11,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool import asgi_server
 from sycamorespool import http_client
 from sycamorespool import models
 
@@ -343,7 +344,7 @@
     """Serve the stand-in engine until ``stop`` is set."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(engine.run_loads)
-        await asgi.serve(engine.app, listen, stop, 0.1)
+        await asgi_server.serve(engine.app, listen, stop, 0.1)
         nursery.cancel_scope.cancel()
 
 
--- a/src/sycamorespool/standins/platform.py
+++ b/src/sycamorespool/standins/platform.py
@@ -10,6 +10,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool import asgi_server
 
 UNAVAILABLE = asgi.Response(503, b'{"error": "unavailable"}')
 NOT_FOUND = asgi.Response(404, b'{"error": "not found"}')
@@ -181,4 +182,4 @@
 ) -> None:
     """Serve the stand-in platform until ``stop`` is set."""
     platform = Platform(load_s, parallel_loads)
-    await asgi.serve(asgi.make_app(platform.handle), listen, stop, 0.1)
+    await asgi_server.serve(asgi.make_app(platform.handle), listen, stop, 0.1)
--- a/src/sycamorespool/standins/service.py
+++ b/src/sycamorespool/standins/service.py
@@ -6,6 +6,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool import asgi_server
 from sycamorespool import models
 
 
@@ -124,4 +125,4 @@
 
 async def serve(service: PlainService, listen: str, stop: trio.Event) -> None:
     """Serve the stand-in service until ``stop`` is set."""
-    await asgi.serve(service.app, listen, stop, 0.1)
+    await asgi_server.serve(service.app, listen, stop, 0.1)
--- /dev/null
+++ b/tests/decisions/engine_world.py
@@ -0,0 +1,293 @@
+"""Model engines that carry out orders as the platform's do, in a test.
+
+The world checks with each order what must never be: a VM that joins while
+the head of its group may run requests, and a group that opens before each
+of its members was ready in it.
+"""
+
+import dataclasses
+import random
+
+from sycamorespool import backends
+from sycamorespool.decisions import assembly
+from sycamorespool.decisions import group_views
+from sycamorespool.decisions import order_drafts
+from sycamorespool import routing_table
+
+STALL_S = 4.0
+HEARTBEAT_S = 1.2
+BIG = routing_table.Model("big", 4, 1.0, 0.6, 3.0, 1.0)
+SMALL = routing_table.Model("small", 2, 0.6, 0.4, 2.0, 0.8)
+ENGINE = routing_table.Engine(13, (BIG, SMALL), 4.0, 0.3)
+STATES = backends.MemberState
+
+
+@dataclasses.dataclass
+class Vm:
+    """One engine, with all that a life of it holds."""
+
+    vm_id: str
+    born_ms: int = 1
+    orders: int = 0
+    fence: int = 0
+    epoch: int = 0
+    member: backends.Membership | None = None
+    model: str = ""
+    ready_s: float = 0.0
+    staged: str = ""
+    staging_s: float = 0.0
+    is_alive: bool = True
+    is_draining: bool = False
+    heard_s: float = 0.0
+    missing_s: float = float("inf")
+    misses: int = 0
+    report: backends.Report | None = None
+    report_s: float = float("-inf")
+
+
+@dataclasses.dataclass
+class EngineWorld:
+    """Engines of one domain and the owner that orders them."""
+
+    random: random.Random
+    now_s: float = 0.0
+    vms: dict[str, Vm] = dataclasses.field(default_factory=dict)
+    rosters: dict[tuple[str, int], tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    were_ready: set[tuple[str, int, str]] = dataclasses.field(
+        default_factory=set
+    )
+    broken_s: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    # An order that lands late belongs to the life of the engine that it
+    # reached: its connection ends with the process.
+    late: list[tuple[float, int, int, backends.Order, int]] = (
+        dataclasses.field(default_factory=list)
+    )
+    lost_share: float = 0.0
+    outcomes: list[str] = dataclasses.field(default_factory=list)
+
+    def add(self, count: int, staged: str = "") -> None:
+        for _ in range(count):
+            vm_id = f"i-{len(self.vms)}"
+            self.vms[vm_id] = Vm(vm_id, staged=staged, heard_s=self.now_s)
+
+    def kill(self, vm_id: str) -> None:
+        self.vms[vm_id].is_alive = False
+
+    def restart(self, vm_id: str) -> None:
+        old = self.vms[vm_id]
+        self.vms[vm_id] = Vm(
+            vm_id,
+            old.born_ms + 1,
+            staged=old.staged,
+            heard_s=self.now_s,
+        )
+
+    def step(self, dt_s: float) -> None:
+        """Let time pass: loads end, heads break, late orders land."""
+        self.now_s += dt_s
+        for vm in self.vms.values():
+            if vm.is_alive:
+                vm.heard_s = self.now_s - self.now_s % HEARTBEAT_S
+                self._finish_join(vm)
+            if vm.staging_s and self.now_s >= vm.staging_s:
+                vm.staging_s = 0.0
+        self._break_heads()
+        landing = [late for late in self.late if late[0] <= self.now_s]
+        self.late = [late for late in self.late if late[0] > self.now_s]
+        for _, born_ms, fence, order, expected in landing:
+            if self.vms[order.backend_id].born_ms == born_ms:
+                self._carry_out(order, fence, expected)
+
+    def _finish_join(self, vm: Vm) -> None:
+        member = vm.member
+        is_due = member and member.state is STATES.JOINING
+        if is_due and self.now_s >= vm.ready_s:
+            self._set_state(vm, STATES.READY)
+            vm.staged = vm.model
+            self.were_ready.add((member.group, member.epoch, vm.vm_id))
+
+    @staticmethod
+    def _set_state(vm: Vm, state: backends.MemberState) -> None:
+        vm.member = dataclasses.replace(vm.member, state=state)
+
+    def _is_whole(self, key: tuple[str, int]) -> bool:
+        return all(
+            (vm := self.vms[vm_id]).is_alive
+            and vm.member
+            and (vm.member.group, vm.member.epoch) == key
+            for vm_id in self.rosters[key]
+        )
+
+    def _break_heads(self) -> None:
+        for vm in self.vms.values():
+            member = vm.member
+            if not vm.is_alive or member is None or member.rank:
+                continue
+            key = (member.group, member.epoch)
+            if member.state not in group_views.RUNNING or self._is_whole(key):
+                self.broken_s.pop(key, None)
+                continue
+            since_s = self.broken_s.setdefault(key, self.now_s)
+            if self.now_s - since_s >= STALL_S:
+                self._set_state(vm, STATES.BROKEN)
+
+    def give(self, order: backends.Order, fence: int, expected: int) -> None:
+        """Take an order, which may be lost and land later."""
+        if self.random.random() < self.lost_share:
+            land_s = self.now_s + self.random.uniform(1.0, 6.0)
+            born_ms = self.vms[order.backend_id].born_ms
+            self.late.append((land_s, born_ms, fence, order, expected))
+            return
+        self._carry_out(order, fence, expected)
+
+    def _carry_out(
+        self, order: backends.Order, fence: int, expected: int
+    ) -> None:
+        vm = self.vms[order.backend_id]
+        if not vm.is_alive or vm.orders != expected:
+            self.outcomes.append("unfit")
+            return
+        if fence < vm.fence:
+            self.outcomes.append("fenced")
+            return
+        vm.fence = fence
+        vm.orders += self._CARRY[order.kind](self, vm, order)
+
+    def _join(self, vm: Vm, order: backends.Order) -> bool:
+        if order.epoch < vm.epoch:
+            return False
+        self._check_join(vm, order)
+        vm.epoch = order.epoch
+        rank = order.members.index(vm.vm_id)
+        key = (order.group, order.epoch)
+        self.rosters[key] = order.members
+        vm.member = backends.Membership(*key, rank, STATES.JOINING)
+        model = ENGINE.find_model(order.model)
+        is_staged = vm.staged == order.model
+        vm.ready_s = self.now_s + (model.warm_s if is_staged else model.load_s)
+        vm.model = order.model
+        return True
+
+    def _check_join(self, vm: Vm, order: backends.Order) -> None:
+        member = vm.member
+        if member is None or member.group == order.group:
+            return
+        head = self.vms[self.rosters[member.group, member.epoch][0]]
+        is_head_of_it = (
+            head.is_alive
+            and head.member
+            and head.member.group == member.group
+            and head.member.epoch == member.epoch
+        )
+        assert not (
+            is_head_of_it and head.member.state in group_views.RUNNING
+        ), f"{vm.vm_id} joins {order.group} while {member.group} runs"
+
+    def _open(self, vm: Vm, order: backends.Order) -> bool:
+        key = (order.group, order.epoch)
+        member = vm.member
+        if member is None or (member.group, member.epoch) != key:
+            return False
+        if member.rank or member.state is not STATES.READY:
+            return False
+        for vm_id in self.rosters[key]:
+            assert (*key, vm_id) in self.were_ready, f"{vm_id} never ready"
+        self._set_state(vm, STATES.OPEN)
+        return True
+
+    def _close(self, vm: Vm, order: backends.Order) -> bool:
+        if vm.member and vm.member.group == order.group:
+            self._set_state(vm, STATES.READY)
+            return True
+        return False
+
+    def _leave(self, vm: Vm, order: backends.Order) -> bool:
+        if vm.member and vm.member.group == order.group:
+            vm.member = None
+            return True
+        return False
+
+    def _stage(self, vm: Vm, order: backends.Order) -> bool:
+        vm.staged = order.model
+        vm.staging_s = self.now_s + ENGINE.find_model(order.model).load_s
+        return True
+
+    _CARRY = {
+        backends.OrderKind.JOIN: _join,
+        backends.OrderKind.OPEN: _open,
+        backends.OrderKind.CLOSE: _close,
+        backends.OrderKind.LEAVE: _leave,
+        backends.OrderKind.STAGE: _stage,
+    }
+
+    def probe(self, cut: frozenset[str] = frozenset()) -> None:
+        """Ask every engine for its report, but those that are cut off."""
+        for vm in self.vms.values():
+            if not vm.is_alive or vm.vm_id in cut:
+                vm.misses += 1
+                vm.missing_s = min(vm.missing_s, self.now_s)
+                continue
+            vm.misses = 0
+            vm.missing_s = float("inf")
+            vm.report_s = self.now_s
+            vm.report = backends.Report(
+                vm.orders,
+                bool(vm.staging_s),
+                0,
+                0,
+                staged=frozenset({vm.staged} - {""}),
+                membership=vm.member,
+                born_ms=vm.born_ms,
+            )
+
+    def view(self, fence: int) -> group_views.DomainView:
+        """Return what an owner knows that was just told."""
+        views = {}
+        for vm in self.vms.values():
+            backend = backends.Backend(
+                vm.vm_id,
+                "s",
+                f"10.0.0.1:{len(views) + 1}",
+                "dc",
+                13,
+                vm.is_draining,
+                domain="d",
+                staged=frozenset({vm.staged} - {""}),
+                membership=vm.member,
+                born_ms=vm.born_ms,
+            )
+            views[vm.vm_id] = group_views.VmView(
+                backend,
+                True,
+                vm.report,
+                vm.report_s,
+                vm.misses,
+                vm.missing_s,
+                vm.heard_s,
+            )
+        return group_views.DomainView(
+            fence, self.now_s, views, ENGINE, STALL_S, HEARTBEAT_S
+        )
+
+    def act(
+        self, fence: int, memory: group_views.Memory, wanted: list[str]
+    ) -> order_drafts.Plan:
+        """Let an owner plan once and give its orders."""
+        view = self.view(fence)
+        made = assembly.plan(view, memory, lambda free: wanted)
+        for order in made.orders:
+            report = self.vms[order.backend_id].report
+            self.give(order, fence, report.orders if report else 0)
+        return made
+
+    def open_groups(self) -> list[str]:
+        """Return the names of the groups that serve."""
+        return [
+            vm.member.group
+            for vm in self.vms.values()
+            if vm.is_alive and vm.member and vm.member.state is STATES.OPEN
+        ]
--- /dev/null
+++ b/tests/decisions/test_assembly.py
@@ -0,0 +1,215 @@
+import random
+
+import pytest
+
+from sycamorespool import backends
+from sycamorespool.decisions import assembly
+from sycamorespool.decisions import group_views
+from tests.decisions import engine_world
+
+
+def make_world(
+    count: int = 4, staged: str = "big", seed: int = 1
+) -> engine_world.EngineWorld:
+    world = engine_world.EngineWorld(random.Random(seed))
+    world.add(count, staged)
+    return world
+
+
+def run(
+    world: engine_world.EngineWorld,
+    memory: group_views.Memory,
+    steps: int,
+    fence: int = 1,
+    wanted: tuple[str, ...] = (),
+    cut: frozenset[str] = frozenset(),
+) -> None:
+    for _ in range(steps):
+        world.step(0.5)
+        world.probe(cut)
+        world.act(fence, memory, list(wanted))
+        wanted = ()
+
+
+def form_big(
+    world: engine_world.EngineWorld, memory: group_views.Memory
+) -> str:
+    run(world, memory, 8, wanted=("big",))
+    (group,) = world.open_groups()
+    return group
+
+
+class TestForm:
+    def test_group_opens_once_all_members_are_ready(self):
+        world, memory = make_world(), group_views.Memory()
+        form_big(world, memory)
+
+    def test_staged_vms_come_first(self):
+        world, memory = make_world(4, ""), group_views.Memory()
+        world.add(4, "big")
+        run(world, memory, 1, wanted=("big",))
+        joined = {
+            vm.vm_id for vm in world.vms.values() if vm.member is not None
+        }
+        assert joined == {"i-4", "i-5", "i-6", "i-7"}
+
+    def test_too_few_vms_form_nothing(self):
+        world, memory = make_world(3), group_views.Memory()
+        run(world, memory, 4, wanted=("big",))
+        assert not world.open_groups()
+
+    def test_join_whose_answer_was_lost_is_sent_again(self):
+        world, memory = make_world(), group_views.Memory()
+        world.lost_share = 1.0
+        run(world, memory, 1, wanted=("big",))
+        world.lost_share = 0.0
+        world.late.clear()
+        run(world, memory, 12)
+        assert len(world.open_groups()) == 1
+
+    def test_loads_over_the_limit_wait(self):
+        world, memory = make_world(4, ""), group_views.Memory()
+        world.step(0.5)
+        world.probe()
+        view = world.view(1)
+        limited = group_views.DomainView(
+            view.fence,
+            view.now_s,
+            view.vms,
+            view.engine,
+            view.stall_s,
+            view.heartbeat_s,
+            may_load=3,
+        )
+        made = assembly.plan(limited, memory, lambda free: ["big"])
+        assert made.loads <= 3
+        assert not any(
+            order.kind is backends.OrderKind.JOIN for order in made.orders
+        )
+
+
+class TestLoss:
+    def test_lost_member_is_replaced_by_a_staged_vm(self):
+        world, memory = make_world(5), group_views.Memory()
+        group = form_big(world, memory)
+        roster = world.rosters[group, int(group.rpartition("@")[2])]
+        world.kill(roster[2])
+        run(world, memory, 6)
+        run(world, memory, 8, wanted=("big",))
+        (again,) = world.open_groups()
+        assert again != group
+
+    def test_members_of_a_lost_head_wait_until_it_must_have_stopped(self):
+        world, memory = make_world(5), group_views.Memory()
+        group = form_big(world, memory)
+        head = world.rosters[group, int(group.rpartition("@")[2])][0]
+        world.kill(head)
+        cut_s = world.now_s
+        while not any(
+            vm.member and vm.member.group != group
+            for vm in world.vms.values()
+            if vm.is_alive
+        ):
+            run(world, memory, 1, wanted=("big",))
+            assert world.now_s < cut_s + 20
+        assert world.now_s - cut_s >= engine_world.STALL_S
+
+    def test_head_that_only_this_owner_misses_goes_on(self):
+        world, memory = make_world(5), group_views.Memory()
+        group = form_big(world, memory)
+        head = world.rosters[group, int(group.rpartition("@")[2])][0]
+        run(world, memory, 10, cut=frozenset({head}))
+        assert world.open_groups() == [group]
+
+    def test_leaving_member_lets_requests_end_first(self):
+        world, memory = make_world(5), group_views.Memory()
+        group = form_big(world, memory)
+        roster = world.rosters[group, int(group.rpartition("@")[2])]
+        world.vms[roster[1]].is_draining = True
+        world.probe()
+        made = world.act(1, memory, [])
+        kinds = {(o.backend_id, o.kind) for o in made.orders}
+        assert (roster[0], backends.OrderKind.CLOSE) in kinds
+        assert (roster[0], backends.OrderKind.LEAVE) not in kinds
+
+    def test_member_that_started_anew_ends_the_group(self):
+        world, memory = make_world(5), group_views.Memory()
+        group = form_big(world, memory)
+        roster = world.rosters[group, int(group.rpartition("@")[2])]
+        world.restart(roster[3])
+        run(world, memory, 4)
+        assert not world.open_groups()
+
+
+class TestOwners:
+    def test_orders_of_a_former_owner_are_refused(self):
+        world, memory = make_world(5), group_views.Memory()
+        form_big(world, memory)
+        world.vms["i-4"].fence = 9
+        world.outcomes.clear()
+        world.probe()
+        order = backends.Order("i-4", backends.OrderKind.STAGE, model="small")
+        world.give(order, 1, world.vms["i-4"].orders)
+        assert world.outcomes == ["fenced"]
+
+    def test_new_owner_opens_what_the_former_one_joined(self):
+        world = make_world()
+        run(world, group_views.Memory(), 1, fence=1, wanted=("big",))
+        run(world, group_views.Memory(), 8, fence=2)
+        assert len(world.open_groups()) == 1
+
+
+def _disturb(world: engine_world.EngineWorld, cut: set[str]) -> None:
+    vm = world.random.choice(list(world.vms.values()))
+    choice = world.random.random()
+    if choice < 0.25:
+        world.kill(vm.vm_id)
+    elif choice < 0.5:
+        world.restart(vm.vm_id)
+    elif choice < 0.6:
+        vm.is_draining = not vm.is_draining
+    elif choice < 0.8:
+        cut.symmetric_difference_update({vm.vm_id})
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_fault_breaks_a_promise(seed):
+    """The world asserts the promises with each order that lands."""
+    world = make_world(10, "big", seed)
+    world.lost_share = 0.15
+    memories = {1: group_views.Memory()}
+    cut: set[str] = set()
+    newest = 1
+    for number in range(200):
+        world.step(0.5)
+        if number % 7 == 0:
+            _disturb(world, cut)
+        if number % 50 == 49:
+            newest += 1
+            memories[newest] = group_views.Memory()
+        world.probe(frozenset(cut))
+        # The former owner goes on for a while, as it does not know.
+        for fence in (newest - 1, newest):
+            if fence in memories:
+                wanted = world.random.choice([[], ["big"], ["small"]])
+                world.act(fence, memories[fence], wanted)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_groups_come_back_once_the_faults_end(seed):
+    world = make_world(10, "big", seed)
+    memory = group_views.Memory()
+    cut: set[str] = set()
+    for number in range(60):
+        world.step(0.5)
+        if number % 7 == 0:
+            _disturb(world, cut)
+        world.probe(frozenset(cut))
+        world.act(1, memory, ["big"])
+    for vm in list(world.vms.values()):
+        vm.is_draining = False
+        if not vm.is_alive:
+            world.restart(vm.vm_id)
+    for _ in range(60):
+        run(world, memory, 1, wanted=("big",))
+    assert len(world.open_groups()) == 2
--- a/tests/operators/conftest.py
+++ b/tests/operators/conftest.py
@@ -12,6 +12,7 @@
 
 from examples import processes
 from sycamorespool import asgi
+from sycamorespool import asgi_server
 from sycamorespool import cli
 from sycamorespool import daemon
 from sycamorespool import settings
@@ -43,7 +44,9 @@
         self.stop = trio.Event()
 
     async def serve(self, app, address):
-        await self.nursery.start(asgi.serve, app, address, self.stop, 0.1)
+        await self.nursery.start(
+            asgi_server.serve, app, address, self.stop, 0.1
+        )
 
     def put_vm(self, name, role, address, domain="f1", state="live"):
         vm = {
--- a/tests/platform/test_log_contract.py
+++ b/tests/platform/test_log_contract.py
@@ -11,6 +11,7 @@
 
 from examples import processes
 from sycamorespool import asgi
+from sycamorespool import asgi_server
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool.platform import log
@@ -51,7 +52,7 @@
 
     async with trio.open_nursery() as nursery:
         app = asgi.make_app(standin.handle)
-        await nursery.start(asgi.serve, app, address, stop, 0.1)
+        await nursery.start(asgi_server.serve, app, address, stop, 0.1)
         yield log.LogClient(pool, address), set_faults
         await pool.aclose()
         stop.set()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -16,7 +16,16 @@
 MAX_LINES = 400
 MAX_COLUMNS = 79
 
-DATA_MODULES = frozenset({"configuration", "exceptions", "models", "records"})
+DATA_MODULES = frozenset(
+    {
+        "backends",
+        "configuration",
+        "exceptions",
+        "models",
+        "records",
+        "routing_table",
+    }
+)
 PEER_ROOMS = frozenset(
     {"backend_servers", "callers", "entries", "operators", "platform"}
 )
