--- a/src/sycamorespool/decisions/assembly.py
+++ b/src/sycamorespool/decisions/assembly.py
@@ -239,7 +239,6 @@
         The head may be well and only cut off, so its members leave and are
         kept until it must have stopped.
         """
-        self.is_settled = False
         until_s = (
             self.view.now_s + self.view.stall_s + group_views.STALL_SLACK_S
         )
@@ -252,11 +251,11 @@
             self.free.pop(vm_id, None)
             if member and member.state in group_views.JOINED:
                 self.memory.held_until_s[vm_id] = until_s
-            self.send(
-                backends.Order(
-                    vm_id, backends.OrderKind.LEAVE, group.name, group.epoch
-                )
+            order = backends.Order(
+                vm_id, backends.OrderKind.LEAVE, group.name, group.epoch
             )
+            if self.send(order):
+                self.is_settled = False
 
     def _judge_formations(self, named: set[str]) -> None:
         for name, formation in list(self.memory.formations.items()):
@@ -279,5 +278,5 @@
             self.free.pop(vm_id, None)
 
     def _forget(self, group: _Group) -> None:
-        self.memory.formations.pop(group.name, None)
-        self.is_settled = False
+        if self.memory.formations.pop(group.name, None) is not None:
+            self.is_settled = False
--- a/src/sycamorespool/platform/store.py
+++ b/src/sycamorespool/platform/store.py
@@ -125,7 +125,8 @@
     return records
 
 
-def _split_page(start: int, body: bytes) -> Page:
+def split_page(start: int, body: bytes) -> Page:
+    """Split the body of a read; raises struct.error if it is cut short."""
     end, first = BOUNDS.unpack_from(body)
     records = []
     position = BOUNDS.size
@@ -220,7 +221,7 @@
         if answer.status != 200:
             raise exceptions.PlatformUnavailable(f"read: {answer.status}")
         try:
-            return _split_page(start, answer.body)
+            return split_page(start, answer.body)
         except struct.error as error:
             raise exceptions.PlatformUnavailable(str(error)) from error
 
--- /dev/null
+++ b/tests/decisions/test_allotment.py
@@ -0,0 +1,84 @@
+import collections
+
+import pytest
+
+from sycamorespool.decisions import allotment
+from tests.decisions import engine_world
+
+MODELS = engine_world.ENGINE.models
+BARE = frozenset()
+
+
+def make_domains(count=6, vms=8, staged=BARE):
+    return {
+        f"d{n}": allotment.Domain(f"dc{n % 3}", free=[staged] * vms)
+        for n in range(count)
+    }
+
+
+def count(wanted):
+    return collections.Counter(m for names in wanted.values() for m in names)
+
+
+class TestFindTargets:
+    @pytest.mark.parametrize("vms", [0, 1, 2, 7, 48, 400])
+    def test_targets_fit_the_vms(self, vms):
+        targets = allotment.find_targets(MODELS, vms)
+        used = sum(m.size * targets[m.name] for m in MODELS)
+        assert vms - min(m.size for m in MODELS) < used <= vms
+
+    def test_every_model_gets_a_group_first(self):
+        targets = allotment.find_targets(MODELS, 6)
+        assert targets == {"big": 1, "small": 1}
+
+
+class TestAllot:
+    def test_domains_keep_to_one_model_as_far_as_targets_allow(self):
+        wanted = allotment.allot(MODELS, make_domains())
+        mixed = [n for n, names in wanted.items() if len(set(names)) > 1]
+        assert len(mixed) <= 1
+
+    def test_a_model_stands_in_several_data_centres(self):
+        domains = make_domains()
+        wanted = allotment.allot(MODELS, domains)
+        for model in MODELS:
+            centres = {
+                domains[name].data_centre
+                for name, names in wanted.items()
+                if model.name in names
+            }
+            assert len(centres) > 1
+
+    def test_all_owners_find_the_same(self):
+        first = allotment.allot(MODELS, make_domains())
+        second = allotment.allot(
+            MODELS, dict(reversed(make_domains().items()))
+        )
+        assert first == second
+
+    def test_staged_vms_form_at_once_rather_than_wait_for_loads(self):
+        domains = make_domains(2, 0)
+        domains["d0"].free = [frozenset({"small"})] * 7
+        domains["d1"].grouped["big"] = 3
+        wanted = allotment.allot(MODELS, domains)
+        assert wanted["d0"].count("small") == 3
+
+    def test_model_that_is_missing_takes_vms_of_another(self):
+        domains = make_domains(1, 0)
+        domains["d0"].free = [frozenset({"small"})] * 4
+        domains["d0"].grouped["small"] = 6
+        assert allotment.allot(MODELS, domains)["d0"] == ["big"]
+
+    def test_too_few_vms_form_nothing(self):
+        wanted = allotment.allot(MODELS, make_domains(3, 1))
+        assert count(wanted) == {}
+
+
+class TestChooseStaged:
+    def test_started_set_is_completed(self):
+        model = allotment.choose_staged(MODELS, {"small"}, {"big": 3})
+        assert model.name == "big"
+
+    def test_lacking_model_comes_next(self):
+        model = allotment.choose_staged(MODELS, {"small"}, {})
+        assert model.name == "small"
--- /dev/null
+++ b/tests/decisions/test_registry.py
@@ -0,0 +1,82 @@
+import dataclasses
+
+from sycamorespool import backends
+from sycamorespool.decisions import registry
+
+
+def make_backend(vm_id="i-1", **changes):
+    backend = backends.Backend(
+        vm_id, "s", "10.0.0.1:80", "dc", 4, False, domain="d", born_ms=5
+    )
+    return dataclasses.replace(backend, **changes)
+
+
+def take(state, now_s=0.0, **changes):
+    backend = make_backend(**changes)
+    registry.take(state, backend.backend_id, backend, now_s)
+
+
+class TestTake:
+    def test_heartbeat_changes_no_generation(self):
+        state = registry.Registry()
+        take(state, 1.0)
+        before = state.generation
+        take(state, 2.0, sequence=9)
+        assert state.generation == before
+        assert state.heard_s["i-1"] == 2.0
+
+    def test_entry_of_an_earlier_life_is_ignored(self):
+        state = registry.Registry()
+        take(state, 1.0, born_ms=7, is_draining=True)
+        take(state, 2.0, born_ms=6)
+        assert state.servers["i-1"].is_draining
+
+    def test_cold_time_counts_from_the_reading(self):
+        state = registry.Registry()
+        take(state, 10.0, cold_left_s=3.0)
+        assert state.cold_until_s["i-1"] == 13.0
+
+    def test_members_of_one_group_are_found_together(self):
+        state = registry.Registry()
+        for rank, vm_id in enumerate(("i-1", "i-2")):
+            member = backends.Membership(
+                "g", 7, rank, backends.MemberState.READY
+            )
+            take(state, vm_id=vm_id, membership=member)
+        (group,) = state.groups_of("s")
+        assert group.members == {0: "i-1", 1: "i-2"}
+        assert group.head == "i-1"
+
+
+class TestRemoval:
+    def test_removed_server_is_forgotten_at_once(self):
+        state = registry.Registry()
+        take(state)
+        registry.take(state, "i-1", None, 50.0)
+        assert not state.servers
+
+    def test_removal_right_after_an_outage_waits(self):
+        state = registry.Registry()
+        take(state)
+        registry.note_outage_end(state, 50.0)
+        registry.take(state, "i-1", None, 50.1)
+        assert state.servers
+        until_s = 50.0 + registry.REMOVAL_HOLD_S
+        assert registry.forget_removed(state, until_s) == ["i-1"]
+        assert not state.servers
+
+    def test_server_that_comes_back_meanwhile_stays(self):
+        state = registry.Registry()
+        take(state)
+        registry.note_outage_end(state, 50.0)
+        registry.take(state, "i-1", None, 50.1)
+        take(state, 51.0)
+        assert registry.forget_removed(state, 99.0) == []
+        assert state.servers
+
+    def test_whole_registry_replaces_the_belief(self):
+        state = registry.Registry()
+        take(state, vm_id="i-1")
+        take(state, vm_id="i-2")
+        registry.replace_all(state, {"i-2": make_backend("i-2")}, 9.0)
+        assert set(state.servers) == {"i-2"}
--- /dev/null
+++ b/tests/hosted/fleet.py
@@ -0,0 +1,214 @@
+"""An entry of a hosted platform before stand-ins, in this process."""
+
+import contextlib
+
+import msgspec
+import trio
+
+from examples import processes
+from sycamorespool import asgi_server
+from sycamorespool import hosted
+from sycamorespool import http_client
+from sycamorespool.standins import hosted_engine
+from sycamorespool.standins import hosted_store
+
+KEY = "caller-key"
+OTHER_KEY = "other-key"
+HOST = "shop.example"
+WAIT_S = 20.0
+LOOK_PERIOD_S = 0.05
+STREAM = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 5))
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "drafts",
+            "host": HOST,
+            "path_prefix": "/drafts/",
+            "kind": "streaming",
+            "timeout_ms": 8000,
+            "slo_ms": 500,
+            "gap_aim_ms": 300,
+            "priority": 1,
+            "service": "assistant",
+            "max_attempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "orders",
+            "host": HOST,
+            "path_prefix": "/orders/",
+            "kind": "non_idempotent",
+            "timeout_ms": 3000,
+            "slo_ms": 200,
+            "service": "ledger",
+        },
+        {
+            "name": "stock",
+            "host": HOST,
+            "path_prefix": "/stock/",
+            "kind": "idempotent",
+            "timeout_ms": 3000,
+            "slo_ms": 200,
+            "service": "ledger",
+            "max_attempts": 2,
+        },
+    ],
+    "services": [
+        {
+            "name": "assistant",
+            "cold_s": 0,
+            "cold_per_s": 0,
+            "engine": {
+                "slots": 4,
+                "loads_per_s": 100,
+                "models": [
+                    {
+                        "name": "m",
+                        "size": 2,
+                        "share": 1.0,
+                        "pace": 1.0,
+                        "load_s": 0.2,
+                        "warm_s": 0.1,
+                    }
+                ],
+            },
+        },
+        {"name": "ledger"},
+    ],
+    "tenants": [{"name": "w", "api_keys": [KEY, OTHER_KEY], "priority": 1}],
+}
+
+SETTINGS = """
+[entry]
+name = entry-1
+data_centre = dc
+regions = dc:r
+[listen]
+callers = {callers}
+readiness = {readiness}
+metrics = {metrics}
+[platform]
+address = {store}
+partitions = 2
+least_ttl_ms = 500
+heartbeat_ms = 300
+[bounds]
+revoke_ms = {revoke_ms}
+stall_ms = 300
+retry_extra = 100
+"""
+
+
+class HostedFleet:
+    """The store, the backend servers and one entry."""
+
+    def __init__(self, nursery, tmp_path, revoke_ms=5000):
+        self.nursery = nursery
+        self.store = hosted_store.HostedStore()
+        self.engines = []
+        self.servers = []
+        self.stop = trio.Event()
+        self.callers = processes.find_free_address()
+        self.readiness = processes.find_free_address()
+        self.metrics = processes.find_free_address()
+        self.store_address = processes.find_free_address()
+        self.path = tmp_path / "entry.ini"
+        self.path.write_text(
+            SETTINGS.format(
+                callers=self.callers,
+                readiness=self.readiness,
+                metrics=self.metrics,
+                store=self.store_address,
+                revoke_ms=revoke_ms,
+            )
+        )
+        self.pool = http_client.make_pool()
+
+    async def serve(self, app, address):
+        await self.nursery.start(
+            asgi_server.serve, app, address, self.stop, 0.1
+        )
+
+    async def add(self, vm_id, service, domain=""):
+        address = processes.find_free_address()
+        engine = hosted_engine.HostedEngine(
+            self.store, vm_id, service, address, domain
+        )
+        await self.serve(engine.app, address)
+        engine.write_entry()
+        (self.engines if domain else self.servers).append(engine)
+        return engine
+
+    async def start(self):
+        await self.serve(
+            asgi_server.asgi.make_app(self.store.handle), self.store_address
+        )
+        self.store.put("keyed.op", "config", CONFIG)
+        for number in range(4):
+            await self.add(f"i-{number}", "assistant", "d")
+        for number in range(2):
+            await self.add(f"p-{number}", "ledger")
+        self.nursery.start_soon(hosted.run, str(self.path))
+        await self.wait_for(self.is_ready)
+        await self.wait_for(self.count_open_is(2))
+        await self.wait_for(self.serves_both_groups)
+        for engine in self.engines:
+            engine.runs.clear()
+
+    async def serves_both_groups(self):
+        await self.ask_stream()
+        return all(engine.runs for engine in self.open_heads())
+
+    async def wait_for(self, condition):
+        """Wait until a condition holds; it may be a coroutine function."""
+        with trio.fail_after(WAIT_S):
+            while not await condition():
+                await trio.lowlevel.checkpoint()
+                await trio.sleep(LOOK_PERIOD_S)
+
+    async def is_ready(self):
+        with contextlib.suppress(http_client.NotReached):
+            url = f"http://{self.readiness}/api/ready"
+            answer = await http_client.exchange(self.pool, "GET", url)
+            return answer.status == 200
+        return False
+
+    def count_open_is(self, count):
+        async def condition():
+            return len(self.open_heads()) == count
+
+        return condition
+
+    def open_heads(self):
+        return [
+            engine
+            for engine in self.engines
+            if engine.group and engine.group["state"] == "open"
+        ]
+
+    async def ask(self, path, method="POST", key=KEY, number=1, **headers):
+        """Send a caller's request and return the whole answer."""
+        named = {
+            "host": HOST,
+            "authorization": f"Bearer {key}",
+            "sycamorespool-attempt-id": f"a{number}",
+            "sycamorespool-deadline-ms": "5000",
+            **{name.replace("_", "-"): v for name, v in headers.items()},
+        }
+        return await http_client.exchange(
+            self.pool,
+            method,
+            f"http://{self.callers}{path}",
+            msgspec.json.encode({"n": number}),
+            10.0,
+            named,
+        )
+
+    async def ask_stream(self, number=1, **headers):
+        return await self.ask(
+            "/drafts/1",
+            number=number,
+            **{"sycamorespool-model": "m", **headers},
+        )
--- /dev/null
+++ b/tests/hosted/test_path.py
@@ -0,0 +1,242 @@
+import pytest
+import trio
+
+from tests.hosted import fleet as fleets
+
+
+@pytest.fixture
+def run_hosted(tmp_path):
+    def run(scenario, **options):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                fleet = fleets.HostedFleet(nursery, tmp_path, **options)
+                await fleet.start()
+                await scenario(fleet)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
+
+
+def find_runs(servers):
+    return [headers for server in servers for headers in server.runs]
+
+
+class TestCalmDay:
+    def test_stream_is_forwarded_whole_and_signed(self, run_hosted):
+        async def scenario(fleet):
+            answer = await fleet.ask_stream()
+            assert answer.status == 200
+            assert answer.body == fleets.STREAM
+            assert "sycamorespool-replica-signature" in answer.headers
+            assert answer.headers["sycamorespool-attempt-id"] == "a1"
+            (headers,) = find_runs(fleet.engines)
+            assert headers["sycamorespool-tenant"] == "w"
+            assert headers["host"] == fleets.HOST
+            assert "authorization" not in headers
+            assert 0 < int(headers["sycamorespool-deadline-ms"]) <= 5000
+
+        run_hosted(scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [
+            ("/nowhere/1", fleets.KEY, 404),
+            ("/orders/1", "no-such-key", 401),
+            ("/orders/1", fleets.KEY, 200),
+        ],
+    )
+    def test_route_and_key_decide(self, run_hosted, path, key, status):
+        async def scenario(fleet):
+            answer = await fleet.ask(path, key=key)
+            assert answer.status == status
+            assert len(find_runs(fleet.servers)) == (status == 200)
+
+        run_hosted(scenario)
+
+
+class TestFaults:
+    def test_cut_stream_goes_on_after_the_last_event(self, run_hosted):
+        async def scenario(fleet):
+            for engine in fleet.engines:
+                engine.faults.append("cut")
+            fleet.open_heads()[0].faults.clear()
+            for number in range(4):
+                answer = await fleet.ask_stream(number)
+                assert answer.body == fleets.STREAM
+            resumed = [
+                headers["last-event-id"]
+                for headers in find_runs(fleet.engines)
+                if "last-event-id" in headers
+            ]
+            assert resumed == ["1"]
+
+        run_hosted(scenario)
+
+    def test_refused_request_goes_to_another_server(self, run_hosted):
+        async def scenario(fleet):
+            fleet.servers[0].faults.extend(["refuse"] * 9)
+            for number in range(3):
+                answer = await fleet.ask("/orders/1", number=number)
+                assert answer.status == 200
+
+        run_hosted(scenario)
+
+    def test_request_that_may_have_run_is_not_sent_again(self, run_hosted):
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.faults.append("fail")
+            answer = await fleet.ask("/orders/1")
+            assert answer.status == 500
+            assert "sycamorespool-replica-signature" in answer.headers
+            assert len(find_runs(fleet.servers)) == 1
+
+        run_hosted(scenario)
+
+    def test_idempotent_request_is_sent_again(self, run_hosted):
+        async def scenario(fleet):
+            fleet.servers[0].faults.append("fail")
+            fleet.servers[1].faults.append("fail")
+            answer = await fleet.ask("/stock/1", "GET")
+            assert answer.status == 500
+            assert len(find_runs(fleet.servers)) == 2
+            assert (await fleet.ask("/stock/1", "GET")).status == 200
+
+        run_hosted(scenario)
+
+    def test_refusal_says_when_to_come_back(self, run_hosted):
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.leave_registry()
+
+            async def is_refused():
+                answer = await fleet.ask("/orders/1")
+                return answer.status == 503 and float(
+                    answer.headers["retry-after"]
+                )
+
+            await fleet.wait_for(is_refused)
+
+        run_hosted(scenario)
+
+    def test_odd_registry_entry_names_no_server(self, run_hosted):
+        async def scenario(fleet):
+            offset = fleet.store.put(
+                "keyed.servers", "odd", {"service": "ledger", "state": 7}
+            )
+            assert offset
+            fleet.store.put("keyed.servers", fleet.servers[0].vm_id, [1])
+            for number in range(4):
+                answer = await fleet.ask("/orders/1", number=number)
+                assert answer.status == 200
+
+        run_hosted(scenario)
+
+
+class TestConfiguration:
+    def test_new_version_takes_a_key_away(self, run_hosted):
+        async def scenario(fleet):
+            tenant = {"name": "w", "api_keys": [fleets.OTHER_KEY]}
+            changed = {**fleets.CONFIG, "version": 5, "tenants": [tenant]}
+            fleet.store.put("keyed.op", "config", changed)
+
+            async def is_taken():
+                return (await fleet.ask("/orders/1")).status == 401
+
+            await fleet.wait_for(is_taken)
+            answer = await fleet.ask("/orders/1", key=fleets.OTHER_KEY)
+            assert answer.status == 200
+
+        run_hosted(scenario)
+
+    def test_older_and_unreadable_versions_change_nothing(self, run_hosted):
+        async def scenario(fleet):
+            older = {**fleets.CONFIG, "version": 2, "routes": []}
+            fleet.store.put("keyed.op", "config", older)
+            fleet.store.put("keyed.op", "config", {"version": "x"})
+            newer = {**fleets.CONFIG, "version": 9}
+            newer["routes"] = fleets.CONFIG["routes"][1:]
+            fleet.store.put("keyed.op", "config", newer)
+
+            async def is_dropped():
+                return (await fleet.ask_stream()).status == 404
+
+            await fleet.wait_for(is_dropped)
+            assert (await fleet.ask("/orders/1")).status == 200
+
+        run_hosted(scenario)
+
+    def test_lost_history_is_read_anew(self, run_hosted):
+        async def scenario(fleet):
+            changed = {**fleets.CONFIG, "version": 9, "routes": []}
+            fleet.store.put("keyed.op", "config", changed)
+            fleet.store.forget_history("keyed.op")
+            fleet.store.forget_history("keyed.servers")
+
+            async def is_dropped():
+                return (await fleet.ask("/orders/1")).status == 404
+
+            await fleet.wait_for(is_dropped)
+
+        run_hosted(scenario)
+
+    def test_entry_without_the_store_refuses_once_keys_may_be_old(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            assert (await fleet.ask("/orders/1")).status == 200
+            fleet.store.is_down = True
+
+            async def is_refused():
+                return (await fleet.ask("/orders/1")).status == 503
+
+            await fleet.wait_for(is_refused)
+            assert not await fleet.is_ready()
+            fleet.store.is_down = False
+            await fleet.wait_for(fleet.is_ready)
+
+        run_hosted(scenario, revoke_ms=3500)
+
+
+class TestGroups:
+    def test_lost_member_ends_its_group_and_the_rest_forms_anew(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            head = fleet.open_heads()[0]
+            name = head.group["name"]
+            member = next(
+                engine
+                for engine in fleet.engines
+                if engine.group["name"] == name and engine is not head
+            )
+            member.leave_registry()
+            member.is_silent = True
+            fleet.engines.remove(member)
+            await fleet.add("i-9", "assistant", "d")
+
+            async def is_formed_anew():
+                names = {e.group["name"] for e in fleet.open_heads()}
+                return len(names) == 2 and name not in names
+
+            await fleet.wait_for(is_formed_anew)
+
+        run_hosted(scenario)
+
+    def test_evacuated_data_centre_gets_nothing(self, run_hosted):
+        async def scenario(fleet):
+            fleet.store.put("keyed.op", "evacuate/dc", {})
+
+            async def is_refused():
+                return (await fleet.ask("/orders/1")).status == 503
+
+            await fleet.wait_for(is_refused)
+            fleet.store.put("keyed.op", "evacuate/dc", None)
+
+            async def is_served():
+                return (await fleet.ask("/orders/1")).status == 200
+
+            await fleet.wait_for(is_served)
+
+        run_hosted(scenario)
