Let one entry of a data centre read the store for the others

Change: entries announce themselves in a topic of their own; the first by rendezvous in a data centre reads, the others ask it and get the records with the age of the read they are from. A reader that fails, or whose read is older than 2.6 s, is passed over for 5 s; the store is always the way out, as records keep their offsets. HTTP over the client and server that are loaded anyway, not pynng, which costs 1.4 MB an entry where memory is dear.

--- a/src/sycamorespool/followers.py
+++ b/src/sycamorespool/followers.py
@@ -2,19 +2,25 @@
 
 import functools
 
+import msgspec
 import trio
 
 from sycamorespool import backends
+from sycamorespool.decisions import readers
 from sycamorespool.decisions import registry
 from sycamorespool import exceptions
 from sycamorespool import logs
+from sycamorespool import peer_reads
 from sycamorespool.platform import store
 from sycamorespool.platform import wire
 from sycamorespool import router as routers
 
-CONFIG_WAIT_S = 2.0
+CONFIG_WAIT_S = 1.0
+CONFIG_PERIOD_S = 0.4
 REGISTRY_PERIOD_S = 0.5
 RETRY_S = 0.3
+ENTRIES_WAIT_S = 20.0
+ENTRIES_RETRY_S = 2.0
 JOIN_PERIOD_S = 0.6
 JOIN_TTL_S = 2.0
 GROUP = "entries"
@@ -110,12 +116,13 @@
     dependency = _Dependency(wire.CONFIG_TOPIC)
     while True:
         began_s = routers.boot_time_s()
+        started_s = trio.current_time()
         try:
             if position is None:
                 position = await _read_all_config(router)
             else:
-                page = await router.store.read(
-                    wire.CONFIG_TOPIC, position, wait_s=CONFIG_WAIT_S
+                page, began_s = await peer_reads.read(
+                    router, wire.CONFIG_TOPIC, position, CONFIG_WAIT_S
                 )
                 for record in store.decode_keyed(page):
                     _take_operators_record(router, record)
@@ -129,9 +136,9 @@
             await trio.sleep(RETRY_S)
             continue
         dependency.note_success()
-        router.config_read_s = began_s
-        if router.table is None:
-            await trio.sleep(RETRY_S)
+        router.config_read_s = max(router.config_read_s, began_s)
+        # A read of the store waits by itself.
+        await trio.sleep_until(started_s + CONFIG_PERIOD_S)
 
 
 def _take_entry(
@@ -189,7 +196,7 @@
         router.has_registry = True
         log.info("registry read", count=len(entries), offset=newest.end)
         return newest.end
-    page = await router.store.read(wire.REGISTRY_TOPIC, position)
+    page, _ = await peer_reads.read(router, wire.REGISTRY_TOPIC, position, 0.0)
     for record in store.decode_keyed(page):
         _take_entry(router, record, now_s)
     return page.next
@@ -218,6 +225,64 @@
         await trio.sleep_until(began_s + REGISTRY_PERIOD_S)
 
 
+def _take_entry_record(
+    router: routers.Router, record: store.KeyedRecord
+) -> None:
+    entries = router.book.entries
+    if record.value is None:
+        entries.pop(record.key, None)
+        return
+    try:
+        found = msgspec.json.decode(record.value, type=readers.Entry)
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        log.warning("entry skipped", entry=record.key, error=error)
+        return
+    entries[record.key] = found
+
+
+async def announce(router: routers.Router) -> None:
+    """Tell the other entries where this one is, until it worked."""
+    own = readers.Entry(
+        router.settings.listen.peers, router.settings.entry.data_centre
+    )
+    content = store.encode_keyed(router.name, msgspec.json.encode(own))
+    while True:
+        try:
+            await router.store.append(wire.ENTRIES_TOPIC, [content])
+        except exceptions.PlatformError as error:
+            log.warning("entry not announced", error=error)
+            await trio.sleep(RETRY_S)
+            continue
+        return
+
+
+async def follow_entries(router: routers.Router) -> None:
+    """Follow which entries there are, for ever."""
+    await announce(router)
+    position: int | None = None
+    dependency = _Dependency(wire.ENTRIES_TOPIC)
+    while True:
+        try:
+            if position is None:
+                newest = await router.store.read_newest(wire.ENTRIES_TOPIC)
+                found, position = newest.records, newest.end
+            else:
+                page = await router.store.read(
+                    wire.ENTRIES_TOPIC, position, wait_s=ENTRIES_WAIT_S
+                )
+                found, position = store.decode_keyed(page), page.next
+        except exceptions.RecordsExpired:
+            position = None
+            continue
+        except exceptions.PlatformError as error:
+            dependency.note_failure(error)
+            await trio.sleep(ENTRIES_RETRY_S)
+            continue
+        dependency.note_success()
+        for record in found:
+            _take_entry_record(router, record)
+
+
 def _take_dealt(router: routers.Router, dealt: store.Dealt) -> None:
     if dealt == router.dealt:
         return
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -15,6 +15,7 @@
 from sycamorespool import logs
 from sycamorespool import metrics_page
 from sycamorespool import node_settings
+from sycamorespool import peer_reads
 from sycamorespool.platform import headers
 from sycamorespool import router as routers
 
@@ -108,12 +109,14 @@
         start(_reload_on_change, router, path)
         start(followers.follow_config, router)
         start(followers.follow_registry, router)
+        start(followers.follow_entries, router)
         start(followers.hold_share, router)
         start(domain_owner.run, router)
         start(forwarding.move_from_still_servers, router)
         for app, address in (
             (_make_readiness(router), chosen.listen.readiness),
             (metrics_page.make_app(router), chosen.listen.metrics),
+            (peer_reads.make_app(router), chosen.listen.peers),
         ):
             start(server.serve, app, address, chosen.limits, trio.Event())
         start(_stop_on_signal, router, stop)
--- a/src/sycamorespool/node_settings.py
+++ b/src/sycamorespool/node_settings.py
@@ -31,6 +31,7 @@
     callers: settings.Address
     readiness: settings.Address
     metrics: settings.Address
+    peers: settings.Address
 
 
 class PlatformSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -16,6 +16,7 @@
 CONFIG_TOPIC = "keyed.op"
 REGISTRY_TOPIC = "keyed.servers"
 CLAIM_TOPIC = "keyed.claims"
+ENTRIES_TOPIC = "keyed.entries"
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
--- a/src/sycamorespool/router.py
+++ b/src/sycamorespool/router.py
@@ -21,6 +21,7 @@
 from sycamorespool import backends
 from sycamorespool.decisions import cold_limits
 from sycamorespool.decisions import placing
+from sycamorespool.decisions import readers
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import retries
 from sycamorespool import http_client
@@ -29,6 +30,7 @@
 from sycamorespool.platform import headers
 from sycamorespool.platform import store
 from sycamorespool import routing_table
+from sycamorespool import tails
 
 # A configuration is trusted for this part of the time in which a key that
 # was taken away may still open something.
@@ -60,6 +62,12 @@
         The partitions that the store's group gave to this entry.
     orders : AsyncConnectionPool
         Connections for reports and orders.
+    peers : AsyncConnectionPool
+        Connections to other entries.
+    book : ReaderBook
+        The other entries.
+    tails : dict
+        The newest records that this entry read, by topic.
     """
 
     settings: node_settings.Settings
@@ -67,10 +75,15 @@
     store: store.Store
     scene: placing.Scene
     orders: httpcore.AsyncConnectionPool
+    peers: httpcore.AsyncConnectionPool
     random: random.Random
     table: routing_table.RoutingTable | None = None
     config_read_s: float = -math.inf
     has_registry: bool = False
+    book: readers.ReaderBook = dataclasses.field(
+        default_factory=readers.ReaderBook
+    )
+    tails: "dict[str, tails.Tail]" = dataclasses.field(default_factory=dict)
     share: float = 0.0
     dealt: store.Dealt = store.Dealt(0, frozenset())
     cold: cold_limits.ColdLimits = dataclasses.field(
@@ -110,6 +123,10 @@
         has_state = self.table is not None and self.has_registry
         return has_state and not self.is_stopping and self.is_config_trusted()
 
+    def tail_of(self, topic: str) -> "tails.Tail":
+        """Return the newest records of a topic, made at first use."""
+        return self.tails.setdefault(topic, tails.Tail())
+
     def budget_of(self, service: str) -> retries.RetryBudget:
         """Return the retry budget of a service, made at first use."""
         budget = self.budgets.get(service)
@@ -198,5 +215,6 @@
         store.Store(pool, chosen.platform.address),
         placing.Scene(registry.Registry(), chosen.entry.data_centre, regions),
         http_client.make_pool(MAX_CONNECTIONS),
+        http_client.make_pool(),
         random.Random(f"{chosen.entry.name}/{incarnation}"),
     )
--- /dev/null
+++ b/tests/decisions/test_readers.py
@@ -0,0 +1,36 @@
+from sycamorespool.decisions import readers
+
+
+def make_book():
+    entries = {
+        f"e{n}": readers.Entry(f"10.0.0.{n}:1", f"dc{n % 2}") for n in range(8)
+    }
+    return readers.ReaderBook(entries)
+
+
+def find_readers(book, now_s=0.0):
+    return {
+        name: readers.choose(book, name, now_s) or name
+        for name in book.entries
+    }
+
+
+class TestChoose:
+    def test_one_entry_of_each_data_centre_reads(self):
+        book = make_book()
+        found = find_readers(book)
+        assert len(set(found.values())) == 2
+        for name, reader in found.items():
+            own = book.entries[name].data_centre
+            assert book.entries[reader].data_centre == own
+
+    def test_unknown_entry_reads_for_itself(self):
+        assert readers.choose(make_book(), "new", 0.0) is None
+
+    def test_reader_that_fails_is_passed_over_for_a_while(self):
+        book = make_book()
+        reader = find_readers(book)["e0"]
+        readers.pass_over(book, reader, 10.0)
+        assert find_readers(book, 10.0)["e0"] != reader
+        later_s = 10.0 + readers.PASSED_OVER_S
+        assert find_readers(book, later_s)["e0"] == reader
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -9,6 +9,7 @@
 from sycamorespool import asgi_server
 from sycamorespool import hosted
 from sycamorespool import http_client
+from sycamorespool import peer_reads
 from sycamorespool.standins import hosted_engine
 from sycamorespool.standins import hosted_store
 
@@ -89,6 +90,7 @@
 callers = {callers}
 readiness = {readiness}
 metrics = {metrics}
+peers = {peers}
 [platform]
 address = {store}
 partitions = 2
@@ -113,6 +115,7 @@
         self.callers = processes.find_free_address()
         self.readiness = processes.find_free_address()
         self.metrics = processes.find_free_address()
+        self.peers = processes.find_free_address()
         self.store_address = processes.find_free_address()
         self.path = tmp_path / "entry.ini"
         self.path.write_text(
@@ -120,6 +123,7 @@
                 callers=self.callers,
                 readiness=self.readiness,
                 metrics=self.metrics,
+                peers=self.peers,
                 store=self.store_address,
                 revoke_ms=revoke_ms,
             )
@@ -206,6 +210,17 @@
             named,
         )
 
+    async def ask_peer(self, topic, start):
+        """Ask the entry for records as another entry does."""
+        url = (
+            f"http://{self.peers}{peer_reads.PATH}?topic={topic}&from={start}"
+        )
+        return await http_client.exchange(self.pool, "GET", url)
+
+    @staticmethod
+    def decode_relayed(answer):
+        return msgspec.msgpack.decode(answer.body, type=peer_reads.Relayed)
+
     async def ask_stream(self, number=1, **headers):
         return await self.ask(
             "/drafts/1",
--- a/tests/hosted/test_path.py
+++ b/tests/hosted/test_path.py
@@ -240,3 +240,21 @@
             await fleet.wait_for(is_served)
 
         run_hosted(scenario)
+
+
+class TestPeers:
+    def test_records_are_given_with_their_age(self, run_hosted):
+        async def scenario(fleet):
+            newest = fleet.store.put("keyed.op", "evacuate/x", {})
+
+            async def is_known():
+                answer = await fleet.ask_peer("keyed.op", newest)
+                relayed = fleet.decode_relayed(answer)
+                return len(relayed.records) == 1 and relayed.age_s < 3.0
+
+            await fleet.wait_for(is_known)
+            ahead = await fleet.ask_peer("keyed.op", newest + 7)
+            assert fleet.decode_relayed(ahead).records == []
+            assert (await fleet.ask_peer("other", 0)).status == 404
+
+        run_hosted(scenario)
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -16,6 +16,7 @@
         "callers": "10.0.0.1:1",
         "readiness": "10.0.0.1:2",
         "metrics": "10.0.0.1:3",
+        "peers": "10.0.0.1:5",
         "store": "10.0.0.9:4",
         "revoke_ms": 5000,
         **changes,
