--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -16,7 +16,9 @@
 from sycamorespool import daemon
 from sycamorespool import environment
 from sycamorespool import exceptions
+from sycamorespool import hosted
 from sycamorespool import logs
+from sycamorespool import node_settings
 from sycamorespool.operators import commands
 from sycamorespool import report as report_pages
 from sycamorespool import settings as settings_files
@@ -194,11 +196,24 @@
         )
 
     @command_words.command
-    def check_settings(self, settings: str) -> command_words.Task:
+    def hosted(self, settings: str) -> command_words.Task:
+        """Run an entry on a hosted platform."""
+
+        def run() -> None:
+            logs.set_up_stdout()
+            trio.run(hosted.run, settings)
+
+        return command_words.Task(run)
+
+    @command_words.command
+    def check_settings(
+        self, settings: str, *, is_hosted: bool = False
+    ) -> command_words.Task:
         """Check a settings file and name all its faults."""
 
         def run() -> commands.Result:
-            settings_files.load(settings)
+            load = node_settings.load if is_hosted else settings_files.load
+            load(settings)
             return commands.Result({"ok": True}, f"{settings}: ok")
 
         return command_words.Task(run)
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -175,4 +175,19 @@
         (),
         "Values of series past the bound on their number.",
     ),
+    "config_age_s": Metric(
+        "gauge",
+        "s",
+        (),
+        "Age of the newest read of the configuration, on a hosted platform.",
+    ),
+    "servers_known": Metric(
+        "gauge", "servers", (), "Backend servers in this entry's registry."
+    ),
+    "groups_open": Metric(
+        "gauge", "groups", ("service",), "Groups that serve, by the registry."
+    ),
+    "store_calls": Metric(
+        "counter", "calls", (), "Calls to the store of a hosted platform."
+    ),
 }
--- a/src/sycamorespool/metrics_page.py
+++ b/src/sycamorespool/metrics_page.py
@@ -1,6 +1,7 @@
 """The page of metrics that an entry serves as text."""
 
 from sycamorespool import asgi
+from sycamorespool import backends
 from sycamorespool import histograms
 from sycamorespool import router as routers
 
@@ -10,6 +11,7 @@
 def render(router: routers.Router) -> str:
     """Return the metrics, one ``name{labels} value`` a line."""
     metrics = router.metrics
+    _update(router)
     lines = [
         f"{_name(series)} {value}"
         for series, value in sorted(metrics.counters.items())
@@ -23,6 +25,32 @@
     return "\n".join([*lines, ""])
 
 
+def _update(router: routers.Router) -> None:
+    """Set the gauges to what holds now."""
+    metrics = router.metrics
+    metrics.set("requests_open", router.requests_open)
+    metrics.set("servers_known", len(router.registry.servers))
+    grown = router.store.calls - metrics.counters[("store_calls",)]
+    metrics.count("store_calls", times=grown)
+    if router.table is None:
+        return
+    age_s = routers.boot_time_s() - router.config_read_s
+    metrics.set("config_age_s", age_s)
+    metrics.set("config_version", router.table.version)
+    for name, service in router.table.services.items():
+        if service.engine is not None:
+            groups = router.registry.groups_of(name)
+            known = router.registry.servers
+            is_open = [
+                group
+                for group in groups
+                if group.head
+                and known[group.head].membership.state
+                is backends.MemberState.OPEN
+            ]
+            metrics.set("groups_open", len(is_open), name)
+
+
 def _name(series: tuple[str, ...], *more: str) -> str:
     name, *labels = series
     values = [*labels, *more]
