Keep one way to give up a call whose caller leaves, and the names in their room

Cause: the hosted entry had a copy of the callers' API's code that cancels a call when its caller leaves; it is one function of the relay now. A test keeps the hosted platform's names out of every other folder and decisions out of platform/. Ruled out: sharing the answers, which differ in their bodies.

--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -1,5 +1,6 @@
 """The API that callers use."""
 
+import functools
 import hashlib
 import hmac
 import re
@@ -180,14 +181,6 @@
         raise asgi.BodyTooLarge
 
 
-async def _cancel_when_gone(
-    receive: asgi.Receive, scope: trio.CancelScope
-) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-    scope.cancel()
-
-
 class CallersApp:
     """The ASGI application towards callers."""
 
@@ -276,22 +269,8 @@
             # outcome does not become unknown by that.
             await dispatch.run_call(self._env, call, passed)
             return
-        failure: exceptions.RequestError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, receive, nursery.cancel_scope
-            )
-            try:
-                await dispatch.run_call(self._env, call, passed)
-            except exceptions.RequestError as error:
-                failure = error
-            except asgi.CallerGone:
-                pass
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if not passed.is_whole:
-            raise asgi.CallerGone
+        run = functools.partial(dispatch.run_call, self._env, call, passed)
+        await relay.run_while_present(run, receive, passed)
 
     async def _run_keyed(
         self, call: dispatch.Call, passed: relay.Relay
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -30,7 +30,8 @@
 REFUSED_BLOCK_S = 0.15
 MISDIRECTED_BLOCK_S = 2.0
 UNREACHED_BLOCK_S = 1.0
-RETRY_PART = 0.5
+# Part of the ratio that an entry spends: the fleet counts by windows.
+RATIO_PART = 0.5
 STILL_CHECK_S = 0.1
 
 log = logs.make_logger("requests")
@@ -47,7 +48,7 @@
 
 def _begin_tries(router: routers.Router, call: calls.Call) -> _Tries:
     budget = router.budget_of(call.service)
-    ratio = router.settings.bounds.retry_ratio * RETRY_PART
+    ratio = router.settings.bounds.retry_ratio * RATIO_PART
     retries.count_request(budget, ratio, call.arrived_s)
     state = retries.CallTries(
         call.route.is_repeatable,
--- a/src/sycamorespool/front.py
+++ b/src/sycamorespool/front.py
@@ -1,6 +1,7 @@
 """The application that callers reach on a hosted platform."""
 
 import dataclasses
+import functools
 
 import trio
 
@@ -72,22 +73,10 @@
             # outcome does not become unknown by that.
             await forwarding.run_call(self._router, call, passed)
             return
-        failure: exceptions.RequestError | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, receive, nursery.cancel_scope
-            )
-            try:
-                await forwarding.run_call(self._router, call, passed)
-            except exceptions.RequestError as error:
-                failure = error
-            except asgi.CallerGone:
-                pass
-            nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if not passed.is_whole:
-            raise asgi.CallerGone
+        run = functools.partial(
+            forwarding.run_call, self._router, call, passed
+        )
+        await relay.run_while_present(run, receive, passed)
 
     async def _refuse(
         self,
@@ -148,10 +137,3 @@
         raise exceptions.NotRun(
             "body_timeout", "the body did not come in time", 408
         ) from error
-
-
-async def _cancel_when_gone(
-    receive: asgi.Receive, scope: trio.CancelScope
-) -> None:
-    await receive()
-    scope.cancel()
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -5,7 +5,7 @@
 so that an entry can go on from the store or from another entry at any
 time::
 
-    page, read_s = await read(router, "keyed.op", position, wait_s)
+    page, read_s = await read(router, topic, position, wait_s)
 """
 
 import msgspec
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -313,3 +313,40 @@
         msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise exceptions.BackendCut("the answer is no JSON") from error
+
+
+async def _cancel_when_gone(
+    receive: asgi.Receive, scope: trio.CancelScope
+) -> None:
+    await receive()
+    scope.cancel()
+
+
+async def run_while_present(
+    run: abc.Callable[[], abc.Awaitable[None]],
+    receive: asgi.Receive,
+    passed: Relay,
+) -> None:
+    """Run a call, and give it up as soon as its caller leaves.
+
+    Raises
+    ------
+    CallerGone
+        If the caller left before its whole answer.
+    RequestError
+        As ``run`` raised it.
+    """
+    failure: exceptions.RequestError | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_when_gone, receive, nursery.cancel_scope)
+        try:
+            await run()
+        except exceptions.RequestError as error:
+            failure = error
+        except asgi.CallerGone:
+            pass
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if not passed.is_whole:
+        raise asgi.CallerGone
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -53,6 +53,18 @@
         "zlib",
     ]
 )
+NAMING_ROOMS = frozenset({"platform", "standins"})
+HOSTED_NAMES = (
+    "/api/",
+    "SYCAMORESPOOL_NODE_FILE",
+    "Sycamorespool-",
+    "api_keys",
+    "fencing_token",
+    '"keyed.',
+    "max_attempts",
+    "slo_ms",
+    "sycamorespool-",
+)
 PROCESS_STARTERS = frozenset({"multiprocessing", "pty", "subprocess"})
 THREAD_STARTERS = frozenset({"_thread", "concurrent", "threading"})
 PROCESS_CALLS = frozenset(
@@ -185,6 +197,19 @@
         rooms = {get_room(name) for name in find_all_own_imports(module)}
         assert rooms <= {"", "standins"}
 
+    @pytest.mark.parametrize("module", list_room("platform"))
+    def test_adapter_decides_nothing(self, module):
+        own = find_own_imports(module)
+        assert not {name for name in own if get_room(name) == "decisions"}
+
+    @pytest.mark.parametrize(
+        "module",
+        [m for m in list_modules() if get_room(m) not in NAMING_ROOMS],
+    )
+    def test_names_of_the_hosted_platform_stay_in_its_room(self, module):
+        text = (SOURCE / module).read_text()
+        assert [name for name in HOSTED_NAMES if name in text] == []
+
     def test_every_folder_is_a_known_room(self):
         folders = {p.parent.name for p in SOURCE.glob("*/__init__.py")}
         assert folders == ROOMS
