--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,9 @@
 """Tests of the log lines."""
 
 import ast
+import contextlib
+import logging
+import os
 import pathlib
 
 import pytest
@@ -99,3 +102,42 @@
             sentence, *others = call.args
             assert isinstance(sentence, ast.Constant) and not others, place
             assert {k.arg for k in call.keywords} <= logs.FIELDS, place
+
+
+class TestBounded:
+    @pytest.fixture
+    def pipe(self):
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        yield reader, writer
+        os.close(reader)
+        os.close(writer)
+
+    def emit(self, handler, text="answered"):
+        handler.emit(
+            logging.LogRecord("absl", logging.INFO, "", 0, text, (), None)
+        )
+
+    def test_line_goes_out_with_its_level(self, pipe):
+        reader, writer = pipe
+        self.emit(logs.BoundedHandler(writer))
+        assert os.read(reader, 99) == b"I answered\n"
+
+    def test_reader_that_does_not_read_stops_nothing(self, pipe):
+        reader, writer = pipe
+        handler = logs.BoundedHandler(writer)
+        for _ in range(logs.LINES_PER_S // 2):
+            self.emit(handler, "x" * 1000)
+        assert handler.dropped
+        with contextlib.suppress(BlockingIOError):
+            while os.read(reader, 65536):
+                continue
+        self.emit(handler, "again")
+        assert b"again dropped_before=" in os.read(reader, 99)
+
+    def test_lines_over_the_rate_are_dropped(self, pipe):
+        _, writer = pipe
+        handler = logs.BoundedHandler(writer)
+        for _ in range(2 * logs.LINES_PER_S):
+            self.emit(handler, "x")
+        assert handler.dropped >= logs.LINES_PER_S // 2
