Follow another entry's reads only while they are fresh enough for a drain

Cause: an entry followed a reader whose last read of the store was up to 2.6 s old; with the half second between two asks, it could learn of a leaving server later than the 2 s in which one may still get requests. Ruled out: a slow registry (other entries stopped in time) and the balancer. Change: a read may be 1.1 s old, a reader waits 0.4 s for the configuration, so that its reads are never that old by themselves. Before: the test failed, a stale reader hid a change for good. After: it passes.

--- a/src/sycamorespool/followers.py
+++ b/src/sycamorespool/followers.py
@@ -15,7 +15,7 @@
 from sycamorespool.platform import wire
 from sycamorespool import router as routers
 
-CONFIG_WAIT_S = 1.0
+CONFIG_WAIT_S = 0.4
 CONFIG_PERIOD_S = 0.4
 REGISTRY_PERIOD_S = 0.5
 RETRY_S = 0.3
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -23,7 +23,7 @@
 PEER_TIMEOUT_S = 0.3
 PEER_PERIOD_S = 0.5
 # An entry whose last read is older cannot reach the store.
-OLDEST_READ_S = 2.6
+OLDEST_READ_S = 1.1
 
 log = logs.make_logger("reads")
 
--- a/tests/hosted/test_path.py
+++ b/tests/hosted/test_path.py
@@ -1,8 +1,17 @@
+import msgspec
 import pytest
 import trio
 
+from examples import processes
+from sycamorespool import asgi
+from sycamorespool.decisions import rendezvous
+from sycamorespool import peer_reads
 from tests.hosted import fleet as fleets
 
+# With the half second between two asks this would pass the two seconds in
+# which a leaving server gets its last request.
+STALE_S = 1.5
+
 
 @pytest.fixture
 def run_hosted(tmp_path):
@@ -258,3 +267,36 @@
             assert (await fleet.ask_peer("other", 0)).status == 404
 
         run_hosted(scenario)
+
+    def test_reader_that_lost_the_store_is_not_followed(self, run_hosted):
+        async def scenario(fleet):
+            relayed = peer_reads.Relayed(STALE_S, [])
+            body = msgspec.msgpack.encode(relayed)
+
+            async def give_old(request):
+                return asgi.Response(200, body)
+
+            address = processes.find_free_address()
+            await fleet.serve(asgi.make_app(give_old), address)
+            name = find_name_before("entry-1", "dc")
+            entry = {"address": address, "data_centre": "dc"}
+            fleet.store.put("keyed.entries", name, entry)
+            for server in fleet.servers:
+                server.leave_registry()
+
+            async def is_refused():
+                return (await fleet.ask("/orders/1")).status == 503
+
+            await fleet.wait_for(is_refused)
+
+        run_hosted(scenario)
+
+
+def find_name_before(name, data_centre):
+    """Return the name of an entry that comes first as a reader."""
+    names = (f"reader-{number}" for number in range(99))
+    return next(
+        other
+        for other in names
+        if rendezvous.choose(data_centre, [name, other]) == other
+    )
