--- a/src/sycamorespool/standins/hosted_checks.py
+++ b/src/sycamorespool/standins/hosted_checks.py
@@ -1,11 +1,8 @@
 """Checks invariants at a stand-in engine and records violations."""
 
-import typing as t
-
 import trio
 
-if t.TYPE_CHECKING:
-    from sycamorespool.standins import hosted_engine
+from sycamorespool.standins import hosted_state
 
 # A cold engine may begin, in any window, this multiple of its rate plus the
 # slack.
@@ -16,7 +13,7 @@
 RUNNING_STATES = ("open", "closing")
 
 
-def check_join(engine: "hosted_engine.HostedEngine", group: str) -> None:
+def check_join(engine: hosted_state.EngineState, group: str) -> None:
     """Record a join while the former group's head may run requests."""
     if engine.group is None or engine.group["name"] == group:
         return
@@ -30,7 +27,7 @@
         )
 
 
-def check_run(engine: "hosted_engine.HostedEngine") -> None:
+def check_run(engine: hosted_state.EngineState) -> None:
     """Record a run in a group with a member that was never ready in it.
 
     Runs beyond the limit of a cold engine are recorded too.
--- a/src/sycamorespool/standins/hosted_store.py
+++ b/src/sycamorespool/standins/hosted_store.py
@@ -3,9 +3,11 @@
 It keeps topics of records in memory and serves over HTTP what the tests
 need of the platform's store: appends, reads that wait for records, the
 newest record of each key, and a group that assigns partitions to members.
+It can be restored from a copy of its state some seconds ago.
 """
 
 import base64
+import bisect
 import collections
 import dataclasses
 import math
@@ -20,6 +22,7 @@
 RECORD_LENGTH = struct.Struct(">I")
 # End offset and oldest offset kept, before the records of a read.
 OFFSET_BOUNDS = struct.Struct(">QQ")
+TIMELINE = "store-era"
 # Topics that only the operator and the backend servers write.
 READ_ONLY_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 
@@ -31,14 +34,31 @@
     records: list[bytes] = dataclasses.field(default_factory=list)
     first: int = 0
     appended: trio.Event = dataclasses.field(default_factory=trio.Event)
+    appended_s: list[float] = dataclasses.field(default_factory=list)
 
     def append(self, content: bytes) -> int:
         """Add a record and return its offset."""
         self.records.append(content)
+        self.appended_s.append(trio.current_time())
         self.appended.set()
         self.appended = trio.Event()
         return len(self.records) - 1
 
+    def restore(self, as_of_s: float) -> None:
+        """Drop the records that were appended after a time."""
+        kept = bisect.bisect_right(self.appended_s, as_of_s)
+        del self.records[kept:], self.appended_s[kept:]
+        self.first = min(self.first, kept)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupState:
+    """Holds the members and the generation of the group at a time."""
+
+    changed_s: float
+    members: frozenset[str]
+    generation: int
+
 
 def _encode_keyed(key: str, value: bytes) -> bytes:
     name = key.encode()
@@ -65,6 +85,10 @@
         How long each call takes.
     does_lose_answers : bool
         Whether appends take effect but are not answered.
+    timeline : int
+        Number that all answers name and that each restore increases.
+    group_states : list
+        Each state of the group so far.
     """
 
     partitions: int = 2
@@ -78,6 +102,26 @@
     is_down: bool = False
     slow_s: float = 0.0
     does_lose_answers: bool = False
+    timeline: int = 1
+    group_states: list[GroupState] = dataclasses.field(default_factory=list)
+
+    def restore(self, age_s: float) -> None:
+        """Go back to the state that was true ``age_s`` ago."""
+        now_s = trio.current_time()
+        self.timeline += 1
+        for topic in self.topics.values():
+            topic.restore(now_s - age_s)
+        while self.group_states and (
+            self.group_states[-1].changed_s > now_s - age_s
+        ):
+            self.group_states.pop()
+        if not self.group_states:
+            self.members, self.generation = {}, 0
+            return
+        copied = self.group_states[-1]
+        self.generation = copied.generation
+        until_s = max(self.members.values(), default=now_s)
+        self.members = dict.fromkeys(copied.members, until_s)
 
     def put(self, topic: str, key: str, value: object | None) -> int:
         """Write a record as the operator or a backend server does.
@@ -95,6 +139,11 @@
 
     async def handle(self, request: asgi.Request) -> asgi.Response:
         """Answer one call."""
+        response = await self._answer(request)
+        response.headers[TIMELINE] = str(self.timeline)
+        return response
+
+    async def _answer(self, request: asgi.Request) -> asgi.Response:
         if self.is_down:
             return asgi.Response(503)
         await trio.sleep(self.slow_s)
@@ -132,12 +181,13 @@
     async def _read(self, request: asgi.Request) -> asgi.Response:
         topic = self._find(request)
         start = int(request.query["from"])
-        if start < topic.first:
+        if not topic.first <= start <= len(topic.records):
             return asgi.answer_json({"first": topic.first}, 410)
         wait_s = float(request.query.get("wait_ms", "0")) / 1000
         with trio.move_on_after(wait_s):
             while start >= len(topic.records):
                 await topic.appended.wait()
+        # The store may have been restored while the read waited.
         found = topic.records[start:]
         body = OFFSET_BOUNDS.pack(len(topic.records), topic.first)
         body += b"".join(RECORD_LENGTH.pack(len(r)) + r for r in found)
@@ -171,9 +221,10 @@
         expired = [m for m, until_s in self.members.items() if until_s < now_s]
         for name in expired:
             del self.members[name]
-        if expired or member not in self.members:
-            self.generation += 1
+        has_changed = expired or member not in self.members
         self.members[member] = now_s + call["ttl_ms"] / 1000
+        if has_changed:
+            self._note_group_change()
         names = sorted(self.members)
         assignments = [
             [topic, part, 0]
@@ -192,5 +243,12 @@
     async def _leave(self, request: asgi.Request) -> asgi.Response:
         member = msgspec.json.decode(request.body)["member"]
         if self.members.pop(member, None) is not None:
-            self.generation += 1
+            self._note_group_change()
         return asgi.answer_json({})
+
+    def _note_group_change(self) -> None:
+        self.generation += 1
+        state = GroupState(
+            trio.current_time(), frozenset(self.members), self.generation
+        )
+        self.group_states.append(state)
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -88,6 +88,7 @@
 
     def __init__(self, nursery, tmp_path, revoke_ms=5000):
         self.nursery = nursery
+        self.began_s = self.serving_s = trio.current_time()
         self.store = hosted_store.HostedStore()
         self.engines = []
         self.servers = []
@@ -138,6 +139,7 @@
         await self.wait_for(self.is_ready)
         await self.wait_for(self.count_open_is(2))
         await self.wait_for(self.serves_both_groups)
+        self.serving_s = trio.current_time()
         for engine in self.engines:
             engine.runs.clear()
 
@@ -203,6 +205,7 @@
         """Fetch records from the entry as another entry does."""
         url = (
             f"http://{self.peers}{peer_reads.PATH}?topic={topic}&from={start}"
+            f"&timeline={self.store.timeline}"
         )
         return await http_client.exchange(self.pool, "GET", url)
 
--- a/tests/hosted/test_path.py
+++ b/tests/hosted/test_path.py
@@ -2,7 +2,6 @@
 
 import msgspec
 import pytest
-import trio
 
 from examples import processes
 from sycamorespool import asgi
@@ -15,21 +14,6 @@
 STALE_S = 1.5
 
 
-@pytest.fixture
-def run_hosted(tmp_path):
-    def run(scenario, **options):
-        async def main():
-            async with trio.open_nursery() as nursery:
-                fleet = fleets.HostedFleet(nursery, tmp_path, **options)
-                await fleet.start()
-                await scenario(fleet)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main)
-
-    return run
-
-
 def find_runs(servers):
     return [headers for server in servers for headers in server.runs]
 
