Read all topics anew after the platform's store was restored

Cause: a store that comes back from an older copy gives out the same offsets again. Positions of the former history skipped records silently, a claim got a fencing number that engines had seen, and a whole listing ended evacuations and brought back servers that had left.

Each answer's timeline is compared with the newest one known: an older answer counts as lost, a newer one makes every position of the former one invalid, also at the entry that others read from. A claim that crosses the restore is made again; fencing numbers have the timeline in their high digits. The configuration in force stays until a newer version comes, an evacuation that the copy lacks for 8 s, a server's entry that is not newer than a known one is skipped.

--- /dev/null
+++ b/src/sycamorespool/config_follower.py
@@ -0,0 +1,164 @@
+"""Follows the operators' configuration and evacuations.
+
+What an entry has accepted never reverts.  After the store was restored from
+an older copy, the configuration in force stays until a newer version
+arrives, and an evacuation that the copy lacks stays in force until the
+operators have had time to write it again.
+"""
+
+import dataclasses
+import functools
+import math
+import typing as t
+
+import trio
+
+from sycamorespool import entry_context
+from sycamorespool import exceptions
+from sycamorespool import logs
+from sycamorespool import peer_reads
+from sycamorespool.platform import pages
+from sycamorespool.platform import wire
+from sycamorespool import topic_follower
+
+# How long the store waits for a record.
+WAIT_S = 0.8
+PERIOD_S = 0.4
+RETRY_S = 0.8
+# How long evacuations that a restored store lacks stay in force.
+RESTORE_HOLD_S = 8.0
+
+log = logs.make_logger("store")
+
+
+@dataclasses.dataclass(slots=True)
+class _Reading:
+    """Holds how the next read is to be made.
+
+    Parameters
+    ----------
+    wait_s : float
+        How long the next read may wait for a record.
+    recheck_s : float
+        When the whole topic is read to end the evacuations that a restored
+        store still lacks; infinite if none is held.
+    """
+
+    wait_s: float = 0.0
+    recheck_s: float = math.inf
+
+
+def _apply_config(
+    context: entry_context.EntryContext, record: pages.KeyedRecord
+) -> None:
+    if record.value is None:
+        return
+    try:
+        table = wire.decode_config(record.value)
+    except exceptions.ConfigurationError as error:
+        log.error(
+            "configuration is not valid, record skipped",
+            offset=record.offset,
+            error=error,
+        )
+        return
+    if context.table is not None and table.version <= context.table.version:
+        return
+    context.table = table
+    log.info(
+        "new configuration in force",
+        version=table.version,
+        offset=record.offset,
+        count=len(table.workspaces),
+    )
+
+
+def _apply_evacuation(
+    context: entry_context.EntryContext, record: pages.KeyedRecord
+) -> None:
+    data_centre = record.key.removeprefix(wire.EVACUATION_PREFIX)
+    evacuated = context.placement_state.evacuated
+    if record.value is None:
+        evacuated.discard(data_centre)
+    else:
+        evacuated.add(data_centre)
+    log.info(
+        "evacuation changed",
+        data_centre=data_centre,
+        state="in force" if record.value else "ended",
+        offset=record.offset,
+    )
+
+
+def _apply_record(
+    context: entry_context.EntryContext, record: pages.KeyedRecord
+) -> None:
+    if record.key == wire.CONFIG_KEY:
+        _apply_config(context, record)
+    elif record.key.startswith(wire.EVACUATION_PREFIX):
+        _apply_evacuation(context, record)
+
+
+def _end_missing_evacuations(
+    context: entry_context.EntryContext, keys: set[str]
+) -> None:
+    for data_centre in list(context.placement_state.evacuated):
+        if wire.EVACUATION_PREFIX + data_centre not in keys:
+            context.placement_state.evacuated.discard(data_centre)
+            log.info(
+                "evacuation changed", data_centre=data_centre, state="ended"
+            )
+
+
+async def _read_all(
+    context: entry_context.EntryContext,
+    reading: _Reading,
+    cause: topic_follower.ReadCause,
+) -> pages.Position:
+    began_s = entry_context.boot_time_s()
+    newest = await context.platform_store.read_newest(wire.CONFIG_TOPIC)
+    reading.recheck_s = math.inf
+    if cause is topic_follower.ReadCause.RESTORED:
+        reading.recheck_s = trio.current_time() + RESTORE_HOLD_S
+    else:
+        keys = {record.key for record in newest.records}
+        _end_missing_evacuations(context, keys)
+    for record in newest.records:
+        _apply_record(context, record)
+    context.config_read_s = max(context.config_read_s, began_s)
+    return newest.end
+
+
+async def _read_on(
+    context: entry_context.EntryContext,
+    reading: _Reading,
+    position: pages.Position,
+) -> pages.Position:
+    if trio.current_time() >= reading.recheck_s:
+        cause = topic_follower.ReadCause.EXPIRED
+        return await _read_all(context, reading, cause)
+    page, current_s = await peer_reads.read(
+        context, wire.CONFIG_TOPIC, position, reading.wait_s
+    )
+    # A read that returned records shows only that they were the newest when
+    # it began, which is as long ago as it waited, so the next read does not
+    # wait.
+    reading.wait_s = 0.0 if page.records else WAIT_S
+    for record in pages.decode_keyed(page):
+        _apply_record(context, record)
+    context.config_read_s = max(context.config_read_s, current_s)
+    return page.next
+
+
+async def run(context: entry_context.EntryContext) -> t.NoReturn:
+    """Follow the configuration and evacuations until cancelled."""
+    reading = _Reading()
+    await topic_follower.follow(
+        topic_follower.Topic(
+            wire.CONFIG_TOPIC,
+            functools.partial(_read_all, context, reading),
+            functools.partial(_read_on, context, reading),
+            PERIOD_S,
+            RETRY_S,
+        )
+    )
--- a/src/sycamorespool/decisions/registry.py
+++ b/src/sycamorespool/decisions/registry.py
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import math
+import typing as t
 
 from sycamorespool import backends
 
@@ -19,6 +20,32 @@
 REMOVAL_HOLD_S = 2.2
 # A removal this soon after an outage may be an effect of the outage.
 POST_OUTAGE_S = 5.0
+# How long a removed server is remembered.  A copy from which the platform's
+# store is restored is not older than this.
+REMOVED_KEEP_S = 60.0
+
+
+class Instant(t.NamedTuple):
+    """Orders the registry entries of one server.
+
+    Parameters
+    ----------
+    started_ms : int
+        Start of the server, Unix milliseconds.
+    sequence : int
+        Number of its heartbeats since then.
+    """
+
+    started_ms: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removed:
+    """Holds the last registry entry's place and when it was dropped."""
+
+    last: Instant
+    removed_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,8 +82,10 @@
         When a server has warmed up and bears its full load, by id.
     removal_due_s : dict
         When a server whose registry entry was removed is dropped, by id.
+    removed : dict
+        The servers that were dropped lately, by id.
     outage_end_s : float
-        When the registry last became readable again after an outage.
+        Until when the registry could not be read, at the last outage.
     generation : int
         Incremented by each change except a heartbeat; the indexes of
         groups and services are rebuilt when it differs.
@@ -70,6 +99,7 @@
     )
     cold_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     removal_due_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    removed: dict[str, Removed] = dataclasses.field(default_factory=dict)
     outage_end_s: float = -math.inf
     generation: int = 0
     _groups_by_service: dict[str, list[Group]] = dataclasses.field(
@@ -115,7 +145,7 @@
 
 
 def note_outage_end(registry: Registry, now_s: float) -> None:
-    """Record that the registry became readable again."""
+    """Record that the registry could not be read until now."""
     registry.outage_end_s = now_s
 
 
@@ -168,13 +198,59 @@
     due = [i for i, s in registry.removal_due_s.items() if s <= now_s]
     for backend_id in due:
         del registry.removal_due_s[backend_id]
-        registry.servers.pop(backend_id, None)
+        backend = registry.servers.pop(backend_id, None)
+        if backend is not None:
+            registry.removed[backend_id] = Removed(_instant(backend), now_s)
         registry.last_heartbeat_s.pop(backend_id, None)
         registry.cold_until_s.pop(backend_id, None)
         registry.generation += 1
+    if due:
+        _prune_removed(registry, now_s)
     return due
 
 
+def _prune_removed(registry: Registry, now_s: float) -> None:
+    registry.removed = {
+        backend_id: removed
+        for backend_id, removed in registry.removed.items()
+        if now_s - removed.removed_s <= REMOVED_KEEP_S
+    }
+
+
+def _instant(backend: backends.Backend) -> Instant:
+    return Instant(backend.started_ms, backend.sequence)
+
+
+def _is_outdated(registry: Registry, backend: backends.Backend) -> bool:
+    """Tell whether an entry is not newer than what is known of its server."""
+    known = registry.servers.get(backend.backend_id)
+    if known is not None:
+        return _instant(backend) <= _instant(known)
+    removed = registry.removed.get(backend.backend_id)
+    return removed is not None and _instant(backend) <= removed.last
+
+
+def apply_restored(
+    registry: Registry,
+    entries: dict[str, backends.Backend],
+    now_s: float,
+) -> None:
+    """Apply a full listing of a registry that was restored from a copy.
+
+    The copy shows the servers as they were some seconds ago.  What is known
+    to be newer stays in force: a server that drains or is gone does not come
+    back by its old entry, and one that the copy lacks is kept for as long as
+    after an outage.
+    """
+    note_outage_end(registry, now_s)
+    for backend_id in list(registry.servers):
+        if backend_id not in entries:
+            _remove(registry, backend_id, now_s)
+    for backend_id, backend in entries.items():
+        if not _is_outdated(registry, backend):
+            apply_entry(registry, backend_id, backend, now_s)
+
+
 def replace_all(
     registry: Registry,
     entries: dict[str, backends.Backend],
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -3,8 +3,8 @@
 A fabric domain of a service is a unit of ownership.  Each unit is hashed to
 a partition, and the entry to which the store assigned that partition owns
 the unit.  Before the entry sends orders, it appends a claim to the store;
-the claim's offset plus one is the fencing number of its orders, so that the
-engines refuse the orders of earlier owners.
+the claim's place in the log gives the fencing number of its orders, so that
+the engines refuse the orders of earlier owners.
 
 In each round the owner asks its VMs for reports, plans the groups of each
 unit and sends the orders of the plans.
@@ -19,17 +19,18 @@
 from sycamorespool import backends
 from sycamorespool.decisions import domain_planner
 from sycamorespool.decisions import domain_view
+from sycamorespool.decisions import fencing
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
 from sycamorespool import domain_units
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
+from sycamorespool import partition_share
 from sycamorespool.platform import engines
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import routing_table
-from sycamorespool import store_followers
 from sycamorespool import vm_watch
 
 # Time between rounds, while all units are settled and while groups change.
@@ -55,10 +56,10 @@
 
 
 def _partition_of(unit: str, partitions: int) -> tuple[str, int]:
-    total = len(store_followers.SHARE_TOPICS) * partitions
+    total = len(partition_share.TOPICS) * partitions
     number = rendezvous.weigh("partition", unit) % total
     topic, part = divmod(number, partitions)
-    return store_followers.SHARE_TOPICS[topic], part
+    return partition_share.TOPICS[topic], part
 
 
 def _list_services(
@@ -91,10 +92,10 @@
 async def _claim(owner: DomainOwner, unit: domain_units.Unit) -> None:
     context = owner.context
     unit.claim_after_s = trio.current_time() + CLAIM_RETRY_S
-    value = store_followers.member_name(context).encode()
-    record = store.encode_keyed(unit.name, value)
+    value = partition_share.member_name(context).encode()
+    record = pages.encode_keyed(unit.name, value)
     try:
-        offset = await context.platform_store.append(
+        claimed = await context.platform_store.append(
             wire.CLAIM_TOPIC, [record]
         )
     except exceptions.PlatformError as error:
@@ -104,7 +105,7 @@
             error=error,
         )
         return
-    unit.fencing_number = offset + 1
+    unit.fencing_number = fencing.make_number(claimed.timeline, claimed.offset)
     log.info("domain claimed", unit=unit.name, epoch=unit.fencing_number)
 
 
--- a/src/sycamorespool/domain_units.py
+++ b/src/sycamorespool/domain_units.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     fencing_number : int
-        Offset of the claim plus one; 0 before there is a claim.
+        Number of the claim to the domain; 0 before there is a claim.
     claim_after_s : float
         Earliest time of the next attempt to claim the domain.
     memory : PlannerMemory
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -14,6 +14,7 @@
     |   +-- PlatformUnavailable
     |   +-- OutcomeLost
     |   +-- RecordsExpired
+    |   +-- TimelineChanged
     |   +-- KeyHistoryLost
     +-- PeerError
     |   +-- PeerUnavailable
@@ -33,6 +34,8 @@
     +-- InvariantViolation
 """
 
+from collections import abc
+
 
 class SycamorespoolError(Exception):
     """Serves as the base class of all errors that sycamorespool raises."""
@@ -132,6 +135,26 @@
         self.first_offset = first_offset
 
 
+class TimelineChanged(PlatformError):
+    """Raised when the platform's store was restored from an older copy.
+
+    Offsets from before the restore may name other records now, so the topic
+    has to be read anew.
+
+    Parameters
+    ----------
+    known, current : int
+        Timeline of the offset, and the store's newest one.
+    """
+
+    def __init__(self, known: int, current: int) -> None:
+        super().__init__(
+            f"the store was restored: timeline {current} follows {known}"
+        )
+        self.known = known
+        self.current = current
+
+
 class KeyHistoryLost(PlatformError):
     """Raised when records of idempotency keys are lost.
 
@@ -171,12 +194,20 @@
         The HTTP status of the refusal.
     detail : str
         The reason that the backend server gave.
+    headers : mapping, optional
+        Headers of the refusal by lower-case name.
     """
 
-    def __init__(self, status: int, detail: str = "") -> None:
+    def __init__(
+        self,
+        status: int,
+        detail: str = "",
+        headers: abc.Mapping[str, str] | None = None,
+    ) -> None:
         super().__init__(f"backend server refused with {status}: {detail}")
         self.status = status
         self.detail = detail
+        self.headers = headers or {}
 
 
 class BackendCut(BackendError):
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -7,17 +7,20 @@
 
 from sycamorespool import asgi
 from sycamorespool.callers import server
+from sycamorespool import config_follower
 from sycamorespool import domain_owner
+from sycamorespool import entry_announcements
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import hosted_callers
 from sycamorespool import logs
 from sycamorespool import metrics_page
 from sycamorespool import node_settings
+from sycamorespool import partition_share
 from sycamorespool import peer_reads
 from sycamorespool.platform import headers
+from sycamorespool import registry_follower
 from sycamorespool import stall_detection
-from sycamorespool import store_followers
 
 # The load balancer probes an entry once a second and removes it after two
 # failed probes.
@@ -54,7 +57,7 @@
     context.is_stopping = True
     limit_s = context.settings.bounds.stop_s - EXIT_RESERVE_S
     with trio.move_on_after(limit_s):
-        await store_followers.release_share(context)
+        await partition_share.release(context)
         await trio.sleep(BALANCER_DELAY_S)
         stop.set()
         await context.wait_until_idle()
@@ -121,10 +124,10 @@
         start = nursery.start_soon
         start(_reload_on_signal, context, path)
         start(_reload_on_change, context, path)
-        start(store_followers.follow_config, context)
-        start(store_followers.follow_registry, context)
-        start(store_followers.follow_entries, context)
-        start(store_followers.hold_share, context)
+        start(config_follower.run, context)
+        start(registry_follower.run, context)
+        start(entry_announcements.run, context)
+        start(partition_share.hold, context)
         start(domain_owner.run, context)
         start(stall_detection.watch, context)
         for app, address in (
--- /dev/null
+++ b/src/sycamorespool/partition_share.py
@@ -0,0 +1,90 @@
+"""Keeps an entry a member of the store's consumer group of all entries.
+
+The store divides the partitions of some topics among the members.  The
+partitions of an entry decide which fabric domains it owns and which part of
+the fleet's budgets it may use.
+"""
+
+import trio
+
+from sycamorespool import entry_context
+from sycamorespool import exceptions
+from sycamorespool import logs
+from sycamorespool.platform import store
+from sycamorespool import topic_follower
+
+JOIN_PERIOD_S = 0.8
+# A member that does not join again for so long loses its partitions; the
+# store may demand a longer time (``platform.least_ttl_ms``).
+JOIN_TTL_S = 2.4
+GROUP = "entries"
+# There are enough topics that each entry of a large fleet is assigned a
+# partition.
+TOPICS = tuple(f"share-{n}" for n in range(16))
+
+log = logs.make_logger("store")
+
+
+def _apply_assignment(
+    context: entry_context.EntryContext, assignment: store.Assignment
+) -> None:
+    if assignment == context.assignment:
+        return
+    total = len(TOPICS) * context.settings.platform.partitions
+    context.assignment = assignment
+    context.set_share(len(assignment.partitions) / total)
+    log.info(
+        "partitions assigned to this entry",
+        version=assignment.generation,
+        count=len(assignment.partitions),
+    )
+
+
+def _find_generation(context: entry_context.EntryContext) -> int:
+    """Return the generation that the store expects with the next join.
+
+    Generations of a former timeline mean nothing to a restored store.
+    """
+    assignment = context.assignment
+    if assignment.timeline != context.platform_store.newest_timeline:
+        return 0
+    return assignment.generation
+
+
+async def hold(context: entry_context.EntryContext) -> None:
+    """Stay a member of the consumer group until the entry stops."""
+    failures = topic_follower.FailureLog(GROUP)
+    ttl_s = max(JOIN_TTL_S, context.settings.platform.least_ttl_ms / 1000)
+    while not context.is_stopping:
+        began_s = trio.current_time()
+        try:
+            assignment = await context.platform_store.join(
+                GROUP,
+                member_name(context),
+                TOPICS,
+                ttl_s,
+                _find_generation(context),
+            )
+            _apply_assignment(context, assignment)
+            failures.note_success()
+        except exceptions.PlatformError as error:
+            failures.note_failure(error)
+        await trio.sleep_until(began_s + JOIN_PERIOD_S)
+
+
+async def release(context: entry_context.EntryContext) -> None:
+    """Leave the consumer group, so that other entries take over at once."""
+    former = context.assignment
+    _apply_assignment(
+        context,
+        store.Assignment(former.generation, frozenset(), former.timeline),
+    )
+    try:
+        await context.platform_store.leave(GROUP, member_name(context))
+    except exceptions.PlatformError as error:
+        log.warning("group could not be left", name=GROUP, error=error)
+
+
+def member_name(context: entry_context.EntryContext) -> str:
+    """Return this process's member name in the store's consumer group."""
+    return f"{context.name}/{context.incarnation}"
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -18,11 +18,10 @@
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import logs
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 
 PATH = "/records"
 PEER_TIMEOUT_S = 0.3
-PEER_PERIOD_S = 0.5
 # An entry whose last read is older than this cannot reach the store.
 MAX_READ_AGE_S = 1.1
 
@@ -36,10 +35,13 @@
     ----------
     age_s : float
         Time since the store was read for them.
+    timeline : int
+        Timeline of the store to which their offsets belong.
     """
 
     age_s: float
     records: list[bytes]
+    timeline: int = 0
 
 
 def make_app(context: entry_context.EntryContext) -> asgi.App:
@@ -47,22 +49,34 @@
 
     async def handle(request: asgi.Request) -> asgi.Response:
         cache = context.record_caches.get(request.query.get("topic", ""))
-        start = request.query.get("from", "")
-        if request.path != PATH or cache is None or not start.isdigit():
+        start = _parse_position(request)
+        if request.path != PATH or cache is None or start is None:
             return asgi.Response(404)
         context.entry_directory.last_followed_s = trio.current_time()
-        records = cache.find_from(int(start))
+        records = cache.find_from(start)
         if records is None:
             return asgi.Response(410)
         age_s = entry_context.boot_time_s() - cache.as_of_s
-        body = msgspec.msgpack.encode(PeerRecords(age_s, records))
+        found = PeerRecords(age_s, records, cache.next.timeline)
+        body = msgspec.msgpack.encode(found)
         return asgi.Response(200, body, "application/msgpack")
 
     return asgi.make_app(handle)
 
 
+def _parse_position(request: asgi.Request) -> pages.Position | None:
+    timeline = request.query.get("timeline", "0")
+    offset = request.query.get("from", "")
+    if not (timeline.isdecimal() and offset.isdecimal()):
+        return None
+    return pages.Position(int(timeline), int(offset))
+
+
 async def _fetch_from_peer(
-    context: entry_context.EntryContext, address: str, topic: str, start: int
+    context: entry_context.EntryContext,
+    address: str,
+    topic: str,
+    start: pages.Position,
 ) -> PeerRecords:
     """Fetch the records of a topic from another entry.
 
@@ -71,7 +85,10 @@
     PeerError
         If it does not answer, has none or has not read the store recently.
     """
-    url = f"http://{address}{PATH}?topic={topic}&from={start}"
+    url = (
+        f"http://{address}{PATH}?topic={topic}&from={start.offset}"
+        f"&timeline={start.timeline}"
+    )
     try:
         answer = await http_client.exchange(
             context.peer_pool, "GET", url, timeout_s=PEER_TIMEOUT_S
@@ -84,6 +101,10 @@
         fetched = msgspec.msgpack.decode(answer.body, type=PeerRecords)
     except msgspec.DecodeError as error:
         raise exceptions.PeerRejected(str(error)) from error
+    if fetched.timeline != start.timeline:
+        raise exceptions.PeerRejected(
+            f"the peer's records are of timeline {fetched.timeline}"
+        )
     if fetched.age_s > MAX_READ_AGE_S:
         raise exceptions.PeerUnavailable(
             f"the peer's last read of the store is {fetched.age_s:.1f} s old"
@@ -92,9 +113,12 @@
 
 
 async def read(
-    context: entry_context.EntryContext, topic: str, start: int, wait_s: float
-) -> tuple[store.Page, float]:
-    """Read a topic from an offset on, from another entry or the store.
+    context: entry_context.EntryContext,
+    topic: str,
+    start: pages.Position,
+    wait_s: float,
+) -> tuple[pages.Page, float]:
+    """Read a topic from a position on, from another entry or the store.
 
     Parameters
     ----------
@@ -111,6 +135,7 @@
     PlatformError
         As :meth:`store.Store.read` raises it.
     """
+    context.platform_store.check_position(start)
     page = await _read_from_peer(context, topic, start)
     if page is not None:
         return page
@@ -124,8 +149,8 @@
 
 
 async def _read_from_peer(
-    context: entry_context.EntryContext, topic: str, start: int
-) -> tuple[store.Page, float] | None:
+    context: entry_context.EntryContext, topic: str, start: pages.Position
+) -> tuple[pages.Page, float] | None:
     name = store_readers.choose(
         context.entry_directory, context.name, trio.current_time()
     )
@@ -149,7 +174,8 @@
         )
         return None
     records = tuple(fetched.records)
-    page = store.Page(start, start + len(records), 0, records)
+    end = start.offset + len(records)
+    page = pages.Page(start.offset, end, 0, records, start.timeline)
     as_of_s = began_s - fetched.age_s
     context.record_cache_of(topic).add_page(page, as_of_s)
     return page, as_of_s
--- a/src/sycamorespool/platform/store.py
+++ b/src/sycamorespool/platform/store.py
@@ -5,9 +5,14 @@
 among whose members it divides the partitions of topics::
 
     store = Store(pool, "10.0.0.1:8000")
-    page = await store.read("keyed.op", 7, wait_s=1.0)
-    for offset, key, value in decode_keyed(page):
+    newest = await store.read_newest("keyed.op")
+    page = await store.read("keyed.op", newest.end, wait_s=1.0)
+    for record in pages.decode_keyed(page):
         ...
+
+The store may be restored from a copy that lacks the newest records.  Offsets
+are then given out again, on a new timeline whose number is higher.  So the
+positions that the calls take and return name the timeline of their offset.
 """
 
 import base64
@@ -22,54 +27,19 @@
 
 from sycamorespool import exceptions
 from sycamorespool import http_client
+from sycamorespool.platform import pages
 
 CALL_TIMEOUT_S = 1.0
-KEYED_PREFIX = "keyed."
-LENGTH = struct.Struct(">I")
-BOUNDS = struct.Struct(">QQ")
 MAX_PAGES = 10_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Page:
-    """Holds records of one partition in offset order.
-
-    Parameters
-    ----------
-    start : int
-        Offset of the first record.
-    end : int
-        Offset that the next appended record of the partition gets.
-    first : int
-        Oldest offset that is still kept.
-    """
-
-    start: int
-    end: int
-    first: int
-    records: tuple[bytes, ...]
-
-    @property
-    def next(self) -> int:
-        """Return the offset to read on from."""
-        return self.start + len(self.records)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """Holds a record of a keyed topic; ``value`` is None to delete the key."""
-
-    offset: int
-    key: str
-    value: bytes | None
+TIMELINE_HEADER = "store-era"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Newest:
     """Holds the newest record of each key, and where to read on from."""
 
-    records: tuple[KeyedRecord, ...]
-    end: int
+    records: tuple[pages.KeyedRecord, ...]
+    end: pages.Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,10 +52,13 @@
         Version of the group's assignments.
     partitions : frozenset
         Pairs of a topic and the number of a partition.
+    timeline : int
+        Timeline of the store on which the generation counts.
     """
 
     generation: int
     partitions: frozenset[tuple[str, int]]
+    timeline: int = 0
 
 
 class _Appended(msgspec.Struct):
@@ -106,7 +79,7 @@
 
 
 class _Expired(msgspec.Struct):
-    first: int
+    first: int = 0
 
 
 class _Joined(msgspec.Struct):
@@ -114,45 +87,6 @@
     parts: list[tuple[str, int, int]]
 
 
-def encode_keyed(key: str, value: bytes) -> bytes:
-    """Encode a key and a value as the content of a keyed topic's record."""
-    name = key.encode()
-    return bytes([len(name)]) + name + value
-
-
-def decode_keyed(page: Page) -> list[KeyedRecord]:
-    """Decode a page of a keyed topic; skip records with invalid keys."""
-    records = []
-    for number, content in enumerate(page.records):
-        size = content[0] if content else 0
-        try:
-            key = content[1 : 1 + size].decode()
-        except UnicodeDecodeError:
-            continue
-        value = content[1 + size :] or None
-        records.append(KeyedRecord(page.start + number, key, value))
-    return records
-
-
-def parse_page(start: int, body: bytes) -> Page:
-    """Parse the body of a read's answer.
-
-    Raises
-    ------
-    struct.error
-        If the body is cut short.
-    """
-    end, first = BOUNDS.unpack_from(body)
-    records = []
-    position = BOUNDS.size
-    while position < len(body):
-        (size,) = LENGTH.unpack_from(body, position)
-        position += LENGTH.size
-        records.append(body[position : position + size])
-        position += size
-    return Page(start, end, first, tuple(records))
-
-
 class Store:
     """Calls the platform's store.
 
@@ -167,6 +101,8 @@
     ----------
     calls : int
         Number of calls made to the store.
+    timeline : int or None
+        Newest timeline that an answer named; None before the first.
     """
 
     def __init__(
@@ -175,6 +111,36 @@
         self._pool = pool
         self._base = f"http://{address}/api/log-"
         self.calls = 0
+        self.timeline: int | None = None
+
+    @property
+    def newest_timeline(self) -> int:
+        """Return the newest known timeline, 0 if the store names none."""
+        return self.timeline or 0
+
+    def check_position(self, position: pages.Position) -> None:
+        """Check that a position is on the newest known timeline.
+
+        Raises
+        ------
+        TimelineChanged
+            If it is on another one.
+        """
+        if position.timeline != self.newest_timeline:
+            raise exceptions.TimelineChanged(
+                position.timeline, self.newest_timeline
+            )
+
+    def _note_timeline(self, name: str, answer: http_client.Response) -> None:
+        text = answer.headers.get(TIMELINE_HEADER, "")
+        if not text.isdecimal():
+            return
+        timeline = int(text)
+        if timeline < self.newest_timeline:
+            raise exceptions.OutcomeLost(
+                f"{name}: the answer is from before the store was restored"
+            )
+        self.timeline = timeline
 
     async def _call(
         self,
@@ -196,79 +162,102 @@
             raise exceptions.PlatformUnavailable(str(error)) from error
         except http_client.ExchangeFailed as error:
             raise exceptions.OutcomeLost(str(error)) from error
+        self._note_timeline(name, answer)
         if answer.status in (429, 503, 507):
             raise exceptions.PlatformUnavailable(f"{name}: {answer.status}")
         return answer
 
     async def append(
         self, topic: str, contents: abc.Sequence[bytes], part: int = 0
-    ) -> int:
-        """Append all records or none; return the offset of the first.
+    ) -> pages.Position:
+        """Append all records or none; return the position of the first.
 
         Raises
         ------
         PlatformUnavailable
             If nothing was appended.
         OutcomeLost
-            If they may have been appended, or may still be.
+            If they may have been appended, or may still be.  That is so,
+            too, if the store was restored during the call: the offset may
+            be one of the former timeline.
         """
-        body = b"".join(LENGTH.pack(len(c)) + c for c in contents)
+        body = b"".join(pages.LENGTH.pack(len(c)) + c for c in contents)
         query = {"topic": topic, "part": part}
+        before = self.timeline
         answer = await self._call("POST", "append", query, body)
-        return _decode("append", answer, _Appended).offset
+        if before not in (None, self.timeline):
+            raise exceptions.OutcomeLost(
+                "append: the store was restored during the call"
+            )
+        offset = _decode("append", answer, _Appended).offset
+        return pages.Position(self.newest_timeline, offset)
 
     async def read(
-        self, topic: str, start: int, part: int = 0, wait_s: float = 0.0
-    ) -> Page:
-        """Read records from an offset on; wait up to ``wait_s`` for one.
+        self,
+        topic: str,
+        start: pages.Position,
+        part: int = 0,
+        wait_s: float = 0.0,
+    ) -> pages.Page:
+        """Read records from a position on; wait up to ``wait_s`` for one.
 
         Raises
         ------
         RecordsExpired
             If the record at ``start`` is no longer kept.
+        TimelineChanged
+            If the store was restored since the position was read.
         PlatformError
             If there was no answer.
         """
-        query = {"topic": topic, "part": part, "from": start}
+        self.check_position(start)
+        query = {"topic": topic, "part": part, "from": start.offset}
         if wait_s:
             query["wait_ms"] = round(wait_s * 1000)
         answer = await self._call(
             "GET", "read", query, timeout_s=wait_s + CALL_TIMEOUT_S
         )
+        self.check_position(start)
         if answer.status == 410:
             first = _decode("read", answer, _Expired, 410).first
             raise exceptions.RecordsExpired(first)
         if answer.status != 200:
             raise exceptions.PlatformUnavailable(f"read: {answer.status}")
         try:
-            return parse_page(start, answer.body)
+            page = pages.parse(start.offset, answer.body)
         except struct.error as error:
             raise exceptions.PlatformUnavailable(str(error)) from error
+        return dataclasses.replace(page, timeline=start.timeline)
 
     async def read_newest(self, topic: str, part: int = 0) -> Newest:
         """Read the newest record of each key of a keyed topic.
 
-        Changes made meanwhile are read from the returned offset on.
+        Changes made meanwhile are read from the returned position on.
 
         Raises
         ------
+        TimelineChanged
+            If the store was restored between two calls.
         PlatformError
             If there was no answer.
         """
-        records: list[KeyedRecord] = []
+        records: list[pages.KeyedRecord] = []
         query: dict[str, t.Any] = {"topic": topic, "part": part}
-        end = None
+        end: pages.Position | None = None
         for _ in range(MAX_PAGES):
             answer = await self._call("GET", "newest", query)
+            if end is not None:
+                self.check_position(end)
             if answer.status == 404:
-                return Newest((), 0)
+                return Newest((), pages.Position(self.newest_timeline, 0))
             page = _decode("newest", answer, _Items)
-            end = page.end if end is None else end
+            if end is None:
+                end = pages.Position(self.newest_timeline, page.end)
             records += [_decode_item(item) for item in page.items]
             if not page.more or not page.items:
                 break
             query["after"] = page.items[-1].key
-        return Newest(tuple(records), end or 0)
+        return Newest(tuple(records), end)
 
     async def join(
         self,
@@ -299,7 +288,7 @@
         answer = await self._call("POST", "join", body=body)
         joined = _decode("join", answer, _Joined)
         partitions = frozenset((row[0], row[1]) for row in joined.parts)
-        return Assignment(joined.generation, partitions)
+        return Assignment(joined.generation, partitions, self.newest_timeline)
 
     async def leave(self, group: str, member: str) -> None:
         """Leave a group, so that others get the member's partitions at once.
@@ -315,8 +304,8 @@
             raise exceptions.PlatformUnavailable(f"leave: {answer.status}")
 
 
-def _decode_item(item: _Item) -> KeyedRecord:
-    return KeyedRecord(
+def _decode_item(item: _Item) -> pages.KeyedRecord:
+    return pages.KeyedRecord(
         item.offset, item.key, base64.b64decode(item.value) or None
     )
 
--- a/src/sycamorespool/record_cache.py
+++ b/src/sycamorespool/record_cache.py
@@ -4,21 +4,21 @@
 import dataclasses
 import math
 
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 
 KEPT_RECORDS = 1024
 
 
 @dataclasses.dataclass(slots=True)
 class RecordCache:
-    """Holds the newest records of a topic, without gaps.
+    """Holds the newest records of a topic, without gaps, of one timeline.
 
     Parameters
     ----------
     records : deque
         At most ``KEPT_RECORDS`` records in offset order.
-    next : int
-        Offset after the last record.
+    next : Position
+        Position after the last record.
     as_of_s : float
         A time at which the store had nothing newer, on the clock that runs
         while the machine is suspended.
@@ -27,23 +27,25 @@
     records: collections.deque[bytes] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=KEPT_RECORDS)
     )
-    next: int = 0
+    next: pages.Position = pages.Position(0, 0)
     as_of_s: float = -math.inf
 
-    def add_page(self, page: store.Page, as_of_s: float) -> None:
+    def add_page(self, page: pages.Page, as_of_s: float) -> None:
         """Append a page; if its records do not follow, drop the older ones."""
-        if page.start != self.next:
+        if (page.timeline, page.start) != self.next:
             self.records.clear()
         self.records.extend(page.records)
         self.next = page.next
         self.as_of_s = as_of_s
 
-    def find_from(self, start: int) -> list[bytes] | None:
-        """Return the records from an offset on, None if some were dropped.
+    def find_from(self, start: pages.Position) -> list[bytes] | None:
+        """Return the records from a position on.
 
-        The list is empty if the offset is beyond the newest record.
+        The list is empty if the position is beyond the newest record.  The
+        result is None if some of the records were dropped, or if the
+        position is on another timeline than the cached records.
         """
-        first = self.next - len(self.records)
-        if start < first:
+        first = self.next.offset - len(self.records)
+        if start.timeline != self.next.timeline or start.offset < first:
             return None
-        return list(self.records)[start - first :]
+        return list(self.records)[start.offset - first :]
--- a/tests/decisions/test_registry.py
+++ b/tests/decisions/test_registry.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from sycamorespool import backends
 from sycamorespool.decisions import registry
 
@@ -82,3 +84,52 @@
         take(state, vm_id="i-2")
         registry.replace_all(state, {"i-2": make_backend("i-2")}, 9.0)
         assert set(state.servers) == {"i-2"}
+
+
+class TestRestore:
+    @pytest.mark.parametrize("sequence", [3, 7])
+    def test_old_entry_does_not_end_a_drain(self, sequence):
+        state = registry.Registry()
+        take(state, 1.0, sequence=7, is_draining=True)
+        copied = make_backend(sequence=sequence)
+        registry.apply_restored(state, {"i-1": copied}, 2.0)
+        assert state.servers["i-1"].is_draining
+
+    def test_server_that_left_does_not_come_back_by_its_old_entry(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=7)
+        registry.apply_entry(state, "i-1", None, 2.0)
+        registry.apply_restored(state, {"i-1": make_backend(sequence=6)}, 3.0)
+        assert not state.servers
+
+    @pytest.mark.parametrize(
+        "changes", [{"sequence": 8}, {"started_ms": 6, "sequence": 1}]
+    )
+    def test_server_that_wrote_again_is_used(self, changes):
+        state = registry.Registry()
+        take(state, 1.0, sequence=7)
+        registry.apply_entry(state, "i-1", None, 2.0)
+        written = make_backend(**changes)
+        registry.apply_restored(state, {"i-1": written}, 3.0)
+        assert state.servers == {"i-1": written}
+
+    def test_server_that_the_copy_lacks_stays_as_after_an_outage(self):
+        state = registry.Registry()
+        take(state, 1.0)
+        registry.apply_restored(state, {}, 3.0)
+        assert state.servers
+        until_s = 3.0 + registry.REMOVAL_HOLD_S
+        assert registry.forget_removed(state, until_s) == ["i-1"]
+
+    def test_unknown_server_of_the_copy_is_used(self):
+        state = registry.Registry()
+        registry.apply_restored(state, {"i-1": make_backend()}, 3.0)
+        assert state.servers
+
+    def test_removed_servers_are_forgotten_in_time(self):
+        state = registry.Registry()
+        for number in range(3):
+            now_s = number * registry.REMOVED_KEEP_S
+            take(state, now_s, vm_id=f"i-{number}")
+            registry.apply_entry(state, f"i-{number}", None, now_s + 1.0)
+        assert set(state.removed) == {"i-1", "i-2"}
--- a/tests/platform/test_hosted_wire.py
+++ b/tests/platform/test_hosted_wire.py
@@ -4,7 +4,7 @@
 from sycamorespool import backends
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import routing_table
 from tests.hosted import fleet
@@ -142,16 +142,37 @@
 class TestStorePages:
     def test_keyed_records_are_decoded(self):
         contents = [
-            store.encode_keyed("a", b"1"),
-            store.encode_keyed("a", b""),
+            pages.encode_keyed("a", b"1"),
+            pages.encode_keyed("a", b""),
             b"\x02\xff\xff1",
         ]
-        body = store.BOUNDS.pack(9, 2)
-        body += b"".join(store.LENGTH.pack(len(c)) + c for c in contents)
-        page = store.parse_page(6, body)
-        assert (page.end, page.first, page.next) == (9, 2, 9)
-        found = store.decode_keyed(page)
+        body = pages.BOUNDS.pack(9, 2)
+        body += b"".join(pages.LENGTH.pack(len(c)) + c for c in contents)
+        page = pages.parse(6, body)
+        assert (page.end, page.first) == (9, 2)
+        assert page.next == pages.Position(0, 9)
+        found = pages.decode_keyed(page)
         assert [(r.offset, r.key, r.value) for r in found] == [
             (6, "a", b"1"),
             (7, "a", None),
         ]
+
+
+class TestNotices:
+    @pytest.mark.parametrize(
+        ("status", "found", "notice"),
+        [
+            (200, {}, backends.Notice()),
+            (200, {"server-leaving": "1"}, backends.Notice(True)),
+            (421, {"server-leaving": " 1 "}, backends.Notice(True)),
+            (200, {"server-leaving": "0"}, backends.Notice()),
+            (503, {"retry-after": "1.5"}, backends.Notice(False, 1.5)),
+            (429, {"retry-after": "1.5"}, backends.Notice()),
+            (503, {"retry-after": "soon"}, backends.Notice()),
+            (503, {"retry-after": "-3"}, backends.Notice()),
+            (503, {"retry-after": "inf"}, backends.Notice()),
+            (503, {"retry-after": "nan"}, backends.Notice()),
+        ],
+    )
+    def test_notice_is_decoded(self, status, found, notice):
+        assert headers.decode_notice(status, found) == notice
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -6,7 +6,7 @@
 from sycamorespool.decisions import store_readers
 from sycamorespool import entry_context
 from sycamorespool import peer_reads
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 from sycamorespool import record_cache
 
 WAIT_S = 0.8
@@ -17,18 +17,23 @@
     monkeypatch.setattr(entry_context, "boot_time_s", lambda: 100.0)
 
     async def read_store(topic, start, wait_s):
-        return store.Page(start, start + len(records), 0, records)
+        end = start.offset + len(records)
+        return pages.Page(start.offset, end, 0, records)
 
     cache = record_cache.RecordCache()
     context = types.SimpleNamespace(
         entry_directory=store_readers.EntryDirectory(),
         name="e",
-        platform_store=types.SimpleNamespace(read=read_store),
+        platform_store=types.SimpleNamespace(
+            read=read_store, check_position=lambda position: None
+        ),
         record_cache_of=lambda topic: cache,
     )
 
     async def main():
-        return await peer_reads.read(context, "topic", 7, WAIT_S)
+        return await peer_reads.read(
+            context, "topic", pages.Position(0, 7), WAIT_S
+        )
 
     page, as_of_s = trio.run(main)
     assert cache.as_of_s == as_of_s
--- a/tests/test_record_cache.py
+++ b/tests/test_record_cache.py
@@ -1,12 +1,12 @@
 import pytest
 
-from sycamorespool.platform import store
+from sycamorespool.platform import pages
 from sycamorespool import record_cache
 
 
 def make_cache():
     cache = record_cache.RecordCache()
-    cache.add_page(store.Page(5, 8, 0, (b"5", b"6", b"7")), 1.0)
+    cache.add_page(pages.Page(5, 8, 0, (b"5", b"6", b"7")), 1.0)
     return cache
 
 
@@ -21,18 +21,31 @@
     ],
 )
 def test_records_from_an_offset_are_found(start, found):
-    assert make_cache().find_from(start) == found
+    assert make_cache().find_from(pages.Position(0, start)) == found
 
 
 def test_consecutive_pages_are_joined():
     cache = make_cache()
-    cache.add_page(store.Page(8, 9, 0, (b"8",)), 2.0)
-    assert cache.find_from(6) == [b"6", b"7", b"8"]
+    cache.add_page(pages.Page(8, 9, 0, (b"8",)), 2.0)
+    assert cache.find_from(pages.Position(0, 6)) == [b"6", b"7", b"8"]
     assert cache.as_of_s == 2.0
 
 
 def test_gap_drops_the_older_records():
     cache = make_cache()
-    cache.add_page(store.Page(20, 21, 0, (b"20",)), 2.0)
-    assert cache.find_from(7) is None
-    assert cache.find_from(20) == [b"20"]
+    cache.add_page(pages.Page(20, 21, 0, (b"20",)), 2.0)
+    assert cache.find_from(pages.Position(0, 7)) is None
+    assert cache.find_from(pages.Position(0, 20)) == [b"20"]
+
+
+def test_records_of_another_timeline_are_not_found():
+    cache = make_cache()
+    assert cache.find_from(pages.Position(1, 6)) is None
+
+
+def test_page_of_another_timeline_drops_the_older_records():
+    cache = make_cache()
+    cache.add_page(pages.Page(8, 9, 0, (b"new",), timeline=1), 2.0)
+    assert cache.find_from(pages.Position(0, 6)) is None
+    assert cache.find_from(pages.Position(1, 7)) is None
+    assert cache.find_from(pages.Position(1, 8)) == [b"new"]
