Send nothing to servers that say they leave or ask for a pause

Cause: only the registry's word ended requests to a server. A server that says in an answer that it leaves gets nothing more from this entry until a new process of it registers; its domain's owner closes its group and takes it for no other. After a 503 with Retry-After the server gets no attempt, retry or resumed stream for so long; if all servers of a request want that, the caller is told at once when to come back, and nothing was sent.

One attempt of a call is a module of its own (attempts).

--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -308,7 +308,7 @@
     await answer.read_head()
     dialect = outgoing.dialect
     if dialect.is_refusal(answer.status, answer.headers):
-        raise exceptions.BackendRefused(answer.status)
+        raise exceptions.BackendRefused(answer.status, "", answer.headers)
     if answer.headers.get(dialect.attempt_header) != outgoing.attempt_id:
         raise exceptions.BackendCut("the answer has another attempt's id")
 
@@ -319,6 +319,7 @@
     outgoing: OutgoingRequest,
     idle_s: float,
     end_s: float,
+    may_send: abc.Callable[[], bool] = lambda: True,
 ) -> abc.AsyncIterator[BackendAnswer]:
     """Send a request and yield the answer while its connection is open.
 
@@ -332,6 +333,9 @@
         answer may take to handle one part of it.
     end_s : float
         When the exchange has to be complete.
+    may_send : callable
+        Tells, once the connection is open, whether the backend server still
+        wants the request.
 
     Raises
     ------
@@ -352,6 +356,9 @@
         http_connection = pool.take(outgoing.address, now_s)
     if http_connection is None:
         http_connection = await _connect(outgoing.address)
+        if not may_send():
+            http_connection.connection.close()
+            raise exceptions.BackendNotReached("it wants no more requests")
     scope = trio.CancelScope(deadline=min(now_s + idle_s, end_s))
     answer = BackendAnswer(http_connection, scope, idle_s, end_s)
     try:
--- a/src/sycamorespool/backends.py
+++ b/src/sycamorespool/backends.py
@@ -67,6 +67,22 @@
     sequence: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice:
+    """Holds what a server's answer says of requests that may follow it.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether the server's process shuts down and wants no new requests.
+    retry_after_s : float
+        How long the server wants no request from this entry, 0 without.
+    """
+
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """Holds what a model engine answers when it is asked for its state.
@@ -82,6 +98,8 @@
         Requests at the engine, as of some hundred ms ago.
     pace : float
         Factor on all its times, over 1 if it is slow now.
+    is_leaving : bool
+        Whether it shuts down and wants no new requests.
     """
 
     orders: int
@@ -92,6 +110,7 @@
     staged: frozenset[str] = frozenset()
     membership: Membership | None = None
     started_ms: int = 0
+    is_leaving: bool = False
 
 
 class OrderKind(enum.StrEnum):
--- a/src/sycamorespool/decisions/domain_view.py
+++ b/src/sycamorespool/decisions/domain_view.py
@@ -68,6 +68,8 @@
         When the first of these was sent.
     last_heartbeat_s : float
         When its last heartbeat was read from the registry.
+    says_leaving : bool
+        Whether it said in an answer that it leaves.
     """
 
     backend: backends.Backend
@@ -78,6 +80,7 @@
     misses: int = 0
     missing_since_s: float = math.inf
     last_heartbeat_s: float = -math.inf
+    says_leaving: bool = False
 
     @property
     def membership(self) -> backends.Membership | None:
@@ -219,9 +222,9 @@
 
 
 def is_leaving(vm: VmView) -> bool:
-    """Tell whether a VM drains or has left the registry to stop."""
+    """Tell whether a VM drains, says so, or has left the registry to stop."""
     is_gone = not vm.is_listed and not vm.is_staying
-    return vm.backend.is_draining or is_gone
+    return vm.backend.is_draining or vm.says_leaving or is_gone
 
 
 def is_healthy(vm: VmView, view: DomainView) -> bool:
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -38,6 +38,8 @@
 SUSPECT_PENALTY = 1000.0
 # About as long as an owner takes to end a group that lost a member.
 SUSPECT_HOLD_S = 3.0
+# Servers whose leaving is remembered; the oldest are forgotten first.
+MAX_LEAVING = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,6 +160,12 @@
         gets no further one, by server id.
     ttfb_s : dict
         Mean time to the first byte of an answer, by service and model.
+    leaving_ms : dict
+        Start of the processes that said that they leave, in Unix
+        milliseconds, by server id.  It is kept when the server is no longer
+        in the registry, as a restored registry may list it again.
+    backoff_until_s : dict
+        Until when a server wants no request from this entry, by server id.
     """
 
     registry: registry.Registry
@@ -173,6 +181,33 @@
     ttfb_s: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    leaving_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    backoff_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def note_notice(
+        self, backend: backends.Backend, notice: backends.Notice, now_s: float
+    ) -> None:
+        """Record what a server's answer said of requests that may follow."""
+        backend_id = backend.backend_id
+        if notice.is_leaving:
+            self.leaving_ms.pop(backend_id, None)
+            self.leaving_ms[backend_id] = backend.started_ms
+            if len(self.leaving_ms) > MAX_LEAVING:
+                del self.leaving_ms[next(iter(self.leaving_ms))]
+        if notice.retry_after_s:
+            until_s = now_s + notice.retry_after_s
+            known_s = self.backoff_until_s.get(backend_id, until_s)
+            self.backoff_until_s[backend_id] = max(until_s, known_s)
+
+    def is_leaving(self, backend: backends.Backend) -> bool:
+        """Tell whether a server drains or said that it leaves."""
+        said_ms = self.leaving_ms.get(backend.backend_id)
+        return backend.is_draining or said_ms == backend.started_ms
+
+    def may_send(self, backend: backends.Backend, now_s: float) -> bool:
+        """Tell whether a server neither leaves nor wants a pause now."""
+        until_s = self.backoff_until_s.get(backend.backend_id, now_s)
+        return until_s <= now_s and not self.is_leaving(backend)
 
     def note_ttfb(self, backend: backends.Backend, ttfb_s: float) -> None:
         """Update the mean TTFB of a server's service and model."""
@@ -242,7 +277,8 @@
         head = known[group.head] if group.head else None
         if head is None or head.membership.state is not _OPEN:
             continue
-        if any(known[vm_id].is_draining for vm_id in group.members.values()):
+        members = (known[vm_id] for vm_id in group.members.values())
+        if any(placement.is_leaving(member) for member in members):
             continue
         yield head
 
@@ -250,10 +286,10 @@
 _OPEN = backends.MemberState.OPEN
 
 
-def list_usable(
-    placement: PlacementState, request: PlacementRequest, now_s: float
+def _list_eligible(
+    placement: PlacementState, request: PlacementRequest
 ) -> list[backends.Backend]:
-    """Return the servers that may serve a request."""
+    """Return the servers that may serve a request now or in a while."""
     if request.model:
         found = _list_heads(placement, request)
     else:
@@ -261,10 +297,9 @@
     return [
         backend
         for backend in found
-        if not backend.is_draining
+        if not placement.is_leaving(backend)
         and backend.backend_id not in request.excluded
         and backend.data_centre not in placement.evacuated
-        and placement.blocked_until_s.get(backend.backend_id, 0.0) <= now_s
         and (
             not request.allowed_regions
             or placement.regions.get(backend.data_centre)
@@ -273,6 +308,33 @@
     ]
 
 
+def list_usable(
+    placement: PlacementState, request: PlacementRequest, now_s: float
+) -> list[backends.Backend]:
+    """Return the servers that may serve a request now."""
+    return [
+        backend
+        for backend in _list_eligible(placement, request)
+        if placement.blocked_until_s.get(backend.backend_id, 0.0) <= now_s
+        and placement.may_send(backend, now_s)
+    ]
+
+
+def find_backoff_end_s(
+    placement: PlacementState, request: PlacementRequest, now_s: float
+) -> float | None:
+    """Return when the first server wants requests again.
+
+    None if some server wants them now, or if there is no server at all.
+    """
+    ends_s = [
+        placement.backoff_until_s.get(backend.backend_id, now_s)
+        for backend in _list_eligible(placement, request)
+    ]
+    end_s = min(ends_s, default=now_s)
+    return end_s if end_s > now_s else None
+
+
 def choose(
     placement: PlacementState,
     request: PlacementRequest,
@@ -315,9 +377,14 @@
     return next((b for b in ranked if may_take(b)), None)
 
 
-def forget(placement: PlacementState, backend_id: str) -> None:
+def forget(placement: PlacementState, backend_id: str, now_s: float) -> None:
     """Drop the state of a server that left the registry."""
     placement.blocked_until_s.pop(backend_id, None)
+    placement.backoff_until_s = {
+        held_id: until_s
+        for held_id, until_s in placement.backoff_until_s.items()
+        if until_s > now_s
+    }
     activity = placement.activities.get(backend_id)
     if activity is not None and not activity.in_flight:
         del placement.activities[backend_id]
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -230,8 +230,9 @@
 
     def forget_servers(self, backend_ids: list[str]) -> None:
         """Drop the state of servers that left the registry."""
+        now_s = trio.current_time()
         for backend_id in backend_ids:
-            placement.forget(self.placement_state, backend_id)
+            placement.forget(self.placement_state, backend_id, now_s)
             cold_limits.forget(self.cold, backend_id)
             self.breakers.pop(backend_id, None)
 
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -7,12 +7,9 @@
 :mod:`sycamorespool.dispatch`.
 """
 
-import dataclasses
-import math
-
 import trio
 
-from sycamorespool.backend_servers import streaming_client
+from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
 from sycamorespool.decisions import placement
@@ -27,12 +24,6 @@
 NO_SERVER_RETRY_AFTER_S = 1.0
 # With less time than this until its deadline, a call makes no attempt.
 MIN_TIME_LEFT_S = 0.02
-# A repeatable request is cancelled and sent to another server after a silence
-# of ``SILENCE_PER_OBJECTIVE`` times the route's objective, but not before
-# these times, for streams and for other answers.
-MIN_STREAM_SILENCE_S = 1.0
-MIN_ANSWER_SILENCE_S = 0.3
-SILENCE_PER_OBJECTIVE = 2.0
 # How long no request goes to a server that refused one, that said it is not
 # the expected server (status 421), or that could not be reached.
 REFUSED_BLOCK_S = 0.15
@@ -50,18 +41,9 @@
 log = logs.make_logger("requests")
 
 
-@dataclasses.dataclass(slots=True)
-class _Tries:
-    """Holds the attempts of one call and the servers not to be tried again."""
-
-    state: retries.CallTries
-    budget: retries.RetryBudget
-    excluded: frozenset[str] = frozenset()
-
-
 def _begin_tries(
     context: entry_context.EntryContext, call: calls.Call
-) -> _Tries:
+) -> attempts.Tries:
     budget = context.retry_budget_of(call.service)
     ratio = context.settings.bounds.retry_ratio * RETRY_RATIO_FRACTION
     retries.count_request(budget, ratio, call.arrived_s)
@@ -70,138 +52,7 @@
         call.end_s,
         max_runs=max(1, call.route.max_runs),
     )
-    return _Tries(state, budget)
-
-
-def _find_silence_s(call: calls.Call, tries: _Tries) -> float:
-    """Return how long a server may be silent before the attempt is given up.
-
-    The time is infinite if no further attempt may follow, because of the
-    route, the limit of runs or the retry budget.
-    """
-    is_last = tries.state.runs + 1 >= tries.state.max_runs
-    if is_last or not call.route.is_repeatable or tries.budget.available < 1.0:
-        return math.inf
-    least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
-    return max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
-
-
-def _make_outgoing(
-    call: calls.Call, backend: backends.Backend, caller_answer: relay.Relay
-) -> streaming_client.OutgoingRequest:
-    request = call.request
-    last_event = request.resume_after
-    if caller_answer.events.count:
-        last_event = str(caller_answer.events.last_id)
-    return streaming_client.OutgoingRequest(
-        backend.address,
-        request.method,
-        request.target,
-        headers.encode_request(
-            request,
-            backend.backend_id,
-            call.workspace.name if call.workspace else "",
-            call.priority if request.model else None,
-            call.end_s - trio.current_time(),
-            last_event,
-        ),
-        request.body,
-        request.attempt_id,
-        may_reuse=call.route.is_repeatable,
-        dialect=entry_context.DIALECT,
-    )
-
-
-class _ObservedAnswer:
-    """Holds a backend server's answer and records when its bytes arrive."""
-
-    def __init__(
-        self,
-        answer: streaming_client.BackendAnswer,
-        activity: placement.BackendActivity,
-    ) -> None:
-        self._answer = answer
-        self._activity = activity
-        self.first_s = 0.0
-        self.status = answer.status
-        self.headers = answer.headers
-
-    async def read(self) -> bytes:
-        """Return the next bytes of the body, none at the end."""
-        data = await self._answer.read()
-        now_s = trio.current_time()
-        self.first_s = self.first_s or now_s
-        placement.note_bytes(self._activity, now_s)
-        return data
-
-    async def finish(self) -> None:
-        """Read the rest of the answer, if it ends soon."""
-        await self._answer.finish()
-
-
-async def _relay(
-    call: calls.Call,
-    answer: _ObservedAnswer,
-    caller_answer: relay.Relay,
-    tries: _Tries,
-) -> None:
-    is_failure = answer.status >= 500
-    if is_failure and _may_repeat(call, tries):
-        raise exceptions.BackendCut(f"the server answered {answer.status}")
-    if call.is_stream and answer.status < 300:
-        await caller_answer.copy_events(answer)
-    elif caller_answer.is_started:
-        raise exceptions.BackendCut(
-            f"the stream was not resumed: status {answer.status}"
-        )
-    else:
-        await caller_answer.copy_whole(answer, is_json=False)
-
-
-def _may_repeat(call: calls.Call, tries: _Tries) -> bool:
-    return (
-        call.route.is_repeatable
-        and tries.state.runs + 1 < tries.state.max_runs
-        and tries.budget.available >= 1.0
-    )
-
-
-async def _attempt(
-    context: entry_context.EntryContext,
-    call: calls.Call,
-    backend: backends.Backend,
-    caller_answer: relay.Relay,
-    tries: _Tries,
-) -> exceptions.BackendError | None:
-    """Make one attempt; return why it failed, None if it succeeded."""
-    activity = context.placement_state.activities[backend.backend_id]
-    sent_s = trio.current_time()
-    context.note_sent(backend, sent_s)
-    silence_s = _find_silence_s(call, tries)
-    scope = trio.CancelScope()
-    if silence_s < math.inf:
-        activity.movable.add(scope)
-    try:
-        with scope:
-            async with streaming_client.open_request(
-                context.backend_connections,
-                _make_outgoing(call, backend, caller_answer),
-                silence_s,
-                call.end_s,
-            ) as answer:
-                watched = _ObservedAnswer(answer, activity)
-                await _relay(call, watched, caller_answer, tries)
-                if watched.first_s:
-                    first_s = watched.first_s - sent_s
-                    context.placement_state.note_ttfb(backend, first_s)
-    except exceptions.BackendError as error:
-        return error
-    finally:
-        activity.movable.discard(scope)
-        placement.end(activity)
-    if scope.cancelled_caught:
-        return exceptions.BackendCut("the server stalled")
-    return None
+    return attempts.Tries(state, budget)
 
 
 def _note_failure(
@@ -213,6 +64,7 @@
     backend_id = backend.backend_id
     blocked = context.placement_state.blocked_until_s
     if isinstance(error, exceptions.BackendRefused):
+        attempts.note_notice(context, backend, error.status, error.headers)
         is_misdirected = error.status == headers.MISDIRECTED
         block_s = MISDIRECTED_BLOCK_S if is_misdirected else REFUSED_BLOCK_S
         blocked[backend_id] = now_s + block_s
@@ -237,13 +89,16 @@
 
 
 def _final_error(
-    call: calls.Call, tries: _Tries, now_s: float
+    call: calls.Call,
+    tries: attempts.Tries,
+    now_s: float,
+    retry_after_s: float = NO_SERVER_RETRY_AFTER_S,
 ) -> exceptions.RequestError:
     if not tries.state.may_have_run:
         return exceptions.NotRun(
             "no_server",
             "no backend server accepted the request",
-            retry_after_s=NO_SERVER_RETRY_AFTER_S,
+            retry_after_s=retry_after_s,
         )
     if now_s >= call.end_s - MIN_TIME_LEFT_S:
         return exceptions.OutcomeUnknown(
@@ -266,6 +121,44 @@
     return call.arrived_s + wait_s
 
 
+async def _wait_for_server(
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    tries: attempts.Tries,
+    until_s: float,
+) -> None:
+    """Wait a moment for a usable server, as long as one may come in time.
+
+    Raises
+    ------
+    NotRun, OutcomeUnknown
+        If the call has waited until ``until_s``, or if all servers want
+        requests again only later than that.
+    """
+    now_s = trio.current_time()
+    backoff_end_s = placement.find_backoff_end_s(
+        context.placement_state,
+        call.make_placement_request(tries.excluded),
+        now_s,
+    )
+    is_too_late = backoff_end_s is not None and backoff_end_s > until_s
+    if now_s < until_s and not is_too_late:
+        await trio.sleep(SERVER_WAIT_PERIOD_S)
+        return
+    log.warning(
+        "no usable backend server",
+        request_id=call.request.attempt_id,
+        service=call.service,
+        name=call.request.model,
+        version=call.version,
+        count=tries.state.tries,
+    )
+    retry_after_s = NO_SERVER_RETRY_AFTER_S
+    if backoff_end_s is not None:
+        retry_after_s = backoff_end_s - now_s
+    raise _final_error(call, tries, now_s, retry_after_s)
+
+
 async def run_call(
     context: entry_context.EntryContext,
     call: calls.Call,
@@ -297,20 +190,12 @@
             context.random.random(),
             lambda found: context.may_send_to(found, trio.current_time()),
         )
-        if backend is None and now_s < wait_until_s:
-            await trio.sleep(SERVER_WAIT_PERIOD_S)
-            continue
         if backend is None:
-            log.warning(
-                "no usable backend server",
-                request_id=call.request.attempt_id,
-                service=call.service,
-                name=call.request.model,
-                version=call.version,
-                count=tries.state.tries,
-            )
-            raise _final_error(call, tries, now_s)
-        error = await _attempt(context, call, backend, caller_answer, tries)
+            await _wait_for_server(context, call, tries, wait_until_s)
+            continue
+        error = await attempts.make_attempt(
+            context, call, backend, caller_answer, tries
+        )
         if error is None:
             _note_success(context, call, backend, caller_answer)
             return
@@ -345,7 +230,7 @@
     call: calls.Call,
     backend: backends.Backend,
     caller_answer: relay.Relay,
-    tries: _Tries,
+    tries: attempts.Tries,
     error: exceptions.BackendError,
 ) -> None:
     """Record a failed attempt; raise the final error if it was the last."""
--- a/src/sycamorespool/platform/engines.py
+++ b/src/sycamorespool/platform/engines.py
@@ -1,5 +1,7 @@
 """Calls the model engines: fetches reports and sends orders."""
 
+import dataclasses
+
 import httpcore
 
 from sycamorespool import backends
@@ -37,7 +39,10 @@
         raise exceptions.BackendCut(
             f"request for a report answered {answer.status}"
         )
-    return wire.decode_report(answer.body)
+    report = wire.decode_report(answer.body)
+    return dataclasses.replace(
+        report, is_leaving=headers.is_leaving(answer.headers)
+    )
 
 
 async def is_responding(
@@ -69,7 +74,11 @@
     except (http_client.NotReached, http_client.ExchangeFailed):
         return False
     named = answer.headers.get(headers.SERVER_ID, "")
-    return answer.status == 200 and named == backend.backend_id
+    return (
+        answer.status == 200
+        and named == backend.backend_id
+        and not headers.is_leaving(answer.headers)
+    )
 
 
 async def send_order(
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -3,6 +3,7 @@
 from collections import abc
 import math
 
+from sycamorespool import backends
 from sycamorespool import caller_request
 
 ATTEMPT = "sycamorespool-attempt-id"
@@ -14,9 +15,12 @@
 PRIORITY = "sycamorespool-request-priority"
 NOT_RUN = "sycamorespool-not-executed"
 SIGNATURE = "sycamorespool-replica-signature"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 RESUME_AFTER = "last-event-id"
 KEY_SCHEME = "bearer"
 MISDIRECTED = 421
+UNAVAILABLE = 503
 READY_PATH = "/api/ready"
 LOWEST_PRIORITY = 9
 
@@ -135,6 +139,24 @@
     return status == MISDIRECTED or NOT_RUN in headers
 
 
-def is_signed(headers: abc.Mapping[str, str]) -> bool:
-    """Tell whether an answer carries a backend server's signature."""
-    return SIGNATURE in headers
+def decode_notice(
+    status: int, headers: abc.Mapping[str, str]
+) -> backends.Notice:
+    """Decode what an answer says of requests that may follow it."""
+    retry_after_s = 0.0
+    if status == UNAVAILABLE:
+        retry_after_s = _read_retry_after_s(headers.get(RETRY_AFTER, ""))
+    return backends.Notice(is_leaving(headers), retry_after_s)
+
+
+def is_leaving(headers: abc.Mapping[str, str]) -> bool:
+    """Tell whether the server that sent an answer is about to leave."""
+    return headers.get(LEAVING, "").strip() == "1"
+
+
+def _read_retry_after_s(value: str) -> float:
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0.0
+    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -126,6 +126,8 @@
             raise exceptions.BackendCut(
                 "the report is from another start of the server"
             )
+        notice = backends.Notice(report.is_leaving)
+        watch.context.placement_state.note_notice(backend, notice, asked_s)
         if vm_id in watch.unlisted:
             await _check_leaving(watch, backend, probe)
     except (exceptions.BackendError, trio.TooSlowError) as error:
@@ -222,4 +224,5 @@
         probe.misses,
         probe.missing_since_s,
         last_heartbeat_s,
+        watch.context.placement_state.is_leaving(backend),
     )
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -89,6 +89,65 @@
         assert choose(state, placement.PlacementRequest("s", "m")) is None
 
 
+class TestNotices:
+    def test_server_that_leaves_is_not_chosen_again(self):
+        state = make_state(make_server("a", started_ms=5))
+        leaving = backends.Notice(is_leaving=True)
+        state.note_notice(make_server("a", started_ms=5), leaving, 0.0)
+        assert choose(state, now_s=1000.0) is None
+
+    def test_leaving_is_remembered_while_the_registry_lacks_the_server(self):
+        state = make_state()
+        leaving = backends.Notice(is_leaving=True)
+        state.note_notice(make_server("a", started_ms=5), leaving, 0.0)
+        placement.forget(state, "a", 1.0)
+        for started_ms, chosen in ((5, None), (6, "a")):
+            server = make_server("a", started_ms=started_ms)
+            registry.apply_entry(state.registry, "a", server, 2.0)
+            assert choose(state, now_s=3.0) == chosen
+
+    def test_group_with_a_member_that_leaves_is_not_chosen(self):
+        member = make_member("c", "m@2", 1)
+        state = make_state(make_member("b", "m@2", 0, "open"), member)
+        state.note_notice(member, backends.Notice(is_leaving=True), 0.0)
+        assert choose(state, placement.PlacementRequest("s", "m")) is None
+
+    def test_server_that_wants_a_pause_is_not_chosen_until_its_end(self):
+        state = make_state(make_server("a"))
+        for pause_s, now_s in ((4.0, 1.0), (1.0, 2.0)):
+            notice = backends.Notice(retry_after_s=pause_s)
+            state.note_notice(make_server("a"), notice, now_s)
+        placement.forget(state, "a", 3.0)
+        assert choose(state, now_s=4.9) is None
+        assert choose(state, now_s=5.0) == "a"
+
+    def test_end_of_the_first_pause_is_known_if_all_servers_want_one(self):
+        state = make_state(make_server("a"), make_server("b"))
+        request = placement.PlacementRequest("s")
+
+        def find_end_s():
+            return placement.find_backoff_end_s(state, request, 0.0)
+
+        assert find_end_s() is None
+        for vm_id, pause_s in (("a", 3.0), ("b", 2.0)):
+            notice = backends.Notice(retry_after_s=pause_s)
+            state.note_notice(make_server(vm_id), notice, 0.0)
+        assert find_end_s() == 2.0
+        state.blocked_until_s["b"] = 1.0
+        assert find_end_s() == 2.0
+        gone = backends.Notice(is_leaving=True)
+        state.note_notice(make_server("b"), gone, 0.0)
+        assert find_end_s() == 3.0
+
+    def test_memory_of_leaving_servers_is_bounded(self):
+        state = make_state()
+        leaving = backends.Notice(is_leaving=True)
+        for number in range(placement.MAX_LEAVING + 1):
+            state.note_notice(make_server(f"i-{number}"), leaving, 0.0)
+        assert len(state.leaving_ms) == placement.MAX_LEAVING
+        assert "i-0" not in state.leaving_ms
+
+
 class TestStallDetection:
     def test_silent_server_is_chosen_last_until_it_sends_bytes(self):
         state = make_state(make_server("a"), make_server("b", "dc2"))
