--- a/benchmarks/hosted_deployment.py
+++ b/benchmarks/hosted_deployment.py
@@ -22,6 +22,7 @@
 import msgspec
 import trio
 
+from benchmarks import hosted_config
 from examples import hosted_settings
 from examples import links
 from examples import processes
@@ -37,23 +38,14 @@
 PLAIN_PER_DATA_CENTRE = 2
 ENTRY_COUNT = 3
 PARTITIONS = 4
-# VMs in a group, by model.
-MODELS = {"big": 3, "small": 2}
-HOST = "shop.example"
 # Events of a stream, and the time between two.
 EVENT_COUNT = 8
 EVENT_S = 0.02
-# Time until a member is ready, and until an open group serves.
-JOIN_S = 0.2
-FORM_S = 0.1
 HEARTBEAT_S = 0.5
 # Missed heartbeats after which the registry drops a server.
 SILENT_HEARTBEATS = 3
 # Time until a group that lost a member breaks.
 STALL_S = 1.5
-# How long a restarted engine is cold, and its requests a second then.
-COLD_S = 1.5
-COLD_PER_S = 8.0
 STOP_S = 5.0
 # Time after which a revoked key must not be accepted any more.
 REVOKE_S = 5.0
@@ -103,77 +95,6 @@
         return not self.faults and self.fault_end_s < since_s
 
 
-def make_config(version: int, revoked: abc.Collection[str] = ()) -> object:
-    """Return a configuration.
-
-    Routes named after the version and the one before, and a key named after
-    the version, show callers which version an entry uses.
-    """
-    plain = {"timeout_ms": 4000, "slo_ms": 200, "host": HOST}
-    routes = [
-        {
-            **plain,
-            "name": "drafts",
-            "path_prefix": "/drafts/",
-            "kind": "streaming",
-            "slo_ms": 500,
-            "service": "assistant",
-            "max_attempts": 2,
-            "resumable": True,
-        },
-        {
-            **plain,
-            "name": "orders",
-            "path_prefix": "/orders/",
-            "kind": "non_idempotent",
-            "service": "ledger",
-        },
-    ]
-    routes += [
-        {
-            **plain,
-            "name": f"stock-{number}",
-            "path_prefix": f"/stock-{number}/",
-            "kind": "idempotent",
-            "service": "ledger",
-            "max_attempts": 2,
-        }
-        for number in (version - 1, version)
-    ]
-    engine = {
-        "slots": 8,
-        "loads_per_s": 20,
-        "form_ms": FORM_S * 1000,
-        "models": [
-            {
-                "name": name,
-                "size": size,
-                "share": 0.5,
-                "load_s": JOIN_S,
-                "warm_s": JOIN_S,
-            }
-            for name, size in MODELS.items()
-        ],
-    }
-    services = [
-        {
-            "name": "assistant",
-            "cold_s": COLD_S,
-            "cold_per_s": COLD_PER_S,
-            "engine": engine,
-        },
-        {"name": "ledger"},
-    ]
-    keys = [k for k in ("key-0", f"key-{version}") if k not in revoked]
-    tenant = {"name": "w", "api_keys": keys, "priority": 1}
-    return {
-        "version": version,
-        "routes": routes,
-        "services": services,
-        "tenants": [tenant],
-    }
-
-
 class HostedDeployment:
     """Holds the processes and stand-ins of one run.
 
@@ -202,6 +123,7 @@
         self.entries: dict[str, Entry] = {}
         self.violations: list[str] = []
         self.registered: set[str] = set()
+        self._missed_heartbeats: dict[str, int] = {}
         self.version = 1
         self.acked_s: dict[int, float] = {}
         self.pool = http_client.make_pool()
@@ -254,8 +176,11 @@
         )
         if domain:
             engine.all_engines = self.engines
-            engine.join_s, engine.form_s = JOIN_S, FORM_S
-            engine.cold_per_s = COLD_PER_S
+            engine.join_s, engine.form_s = (
+                hosted_config.JOIN_S,
+                hosted_config.FORM_S,
+            )
+            engine.cold_per_s = hosted_config.COLD_PER_S
             self.engines[vm_id] = engine
         else:
             self.servers[vm_id] = engine
@@ -266,19 +191,27 @@
 
     async def _write_heartbeats(self) -> None:
         """Write the servers' heartbeats; remove the records of silent ones."""
-        silent: dict[str, int] = {}
+        missed = self._missed_heartbeats
         while True:
             await trio.sleep(HEARTBEAT_S)
             for vm_id, engine in (self.engines | self.servers).items():
                 engine.apply_due_changes()
                 if vm_id in self.registered and not engine.is_silent:
-                    silent[vm_id] = 0
+                    missed[vm_id] = 0
                     engine.write_record()
                     continue
-                silent[vm_id] = silent.get(vm_id, 0) + 1
-                if silent[vm_id] == SILENT_HEARTBEATS:
+                missed[vm_id] = missed.get(vm_id, 0) + 1
+                if missed[vm_id] == SILENT_HEARTBEATS:
                     engine.remove_record()
 
+    def restore_store(self, age_s: float) -> None:
+        """Restore the store from a copy of its state ``age_s`` ago.
+
+        Servers that are silent expire again in the restored registry.
+        """
+        self.store.restore(age_s)
+        self._missed_heartbeats.clear()
+
     async def _add_entry(self, name: str, data_centre: str) -> None:
         listen = {
             part: processes.find_free_address()
@@ -341,7 +274,7 @@
     ) -> None:
         """Write a configuration as the operator does."""
         self.version = version
-        config = make_config(version, revoked)
+        config = hosted_config.make(version, revoked)
         self.store.put("keyed.op", "config", config)
         self.acked_s[version] = trio.current_time()
 
@@ -364,7 +297,7 @@
             for engine in self.engines.values()
             if engine.group and engine.group["state"] == "open"
         }
-        return open_models == set(MODELS)
+        return open_models == set(hosted_config.MODELS)
 
     async def wait_for(
         self, condition: abc.Callable[[], abc.Awaitable[bool]]
--- a/benchmarks/hosted_faults.py
+++ b/benchmarks/hosted_faults.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from benchmarks import hosted_config
 from benchmarks import hosted_deployment
 from examples import links
 from sycamorespool.standins import hosted_engine
@@ -16,6 +17,10 @@
 LONG_FAULT_S = (1.0, 5.0)
 # How long a server that leaves still serves requests.
 LINGER_S = 2.5
+# Age of the copy from which the store is restored.
+COPY_AGE_S = (0.2, 4.0)
+# Pause that refusals ask for.
+PAUSE_S = (1.0, 4.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +35,8 @@
         Invariants that did not hold.
     revoked_s : dict
         Times at which revocations of keys were acknowledged, by key.
+    evacuated : set of str
+        Data centres that are evacuated now.
     """
 
     deployment: hosted_deployment.HostedDeployment
@@ -37,6 +44,7 @@
     busy: set[str] = dataclasses.field(default_factory=set)
     failures: list[str] = dataclasses.field(default_factory=list)
     revoked_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuated: set[str] = dataclasses.field(default_factory=set)
 
     def pick(self, names: abc.Iterable[str]) -> str:
         """Choose a name that no fault affects, empty if there is none."""
@@ -152,6 +160,44 @@
     run.deployment.store.expire_records("keyed.servers")
 
 
+async def restore_store(run: Run, name: str) -> None:
+    """Take the store down and restore it from a copy some seconds old.
+
+    The operators write again what the copy may lack.
+    """
+    deployment = run.deployment
+    deployment.store.is_down = True
+    await run.sleep_random(SHORT_FAULT_S)
+    for _ in range(run.rng.randint(1, 2)):
+        deployment.restore_store(run.rng.uniform(*COPY_AGE_S))
+    deployment.store.is_down = False
+    await run.sleep_random((0.0, 0.5))
+    deployment.put_config(deployment.version, run.revoked_s.keys())
+    for data_centre in hosted_deployment.DATA_CENTRES:
+        value = {} if data_centre in run.evacuated else None
+        deployment.store.put("keyed.op", f"evacuate/{data_centre}", value)
+
+
+async def announce_leaving(run: Run, name: str) -> None:
+    """Have a server say only in its answers that it leaves, then restart."""
+    server = _find_server(run, name)
+    server.is_leaving = True
+    await trio.sleep(LINGER_S)
+    server.crash()
+    run.deployment.server_links[name].reset()
+    await run.sleep_random(SHORT_FAULT_S)
+    server.restart()
+
+
+async def ask_for_pause(run: Run, name: str) -> None:
+    """Have a server refuse requests and ask for a pause."""
+    server = _find_server(run, name)
+    server.pause_s = run.rng.uniform(*PAUSE_S)
+    server.faults.extend(["refuse"] * 3)
+    await trio.sleep(server.pause_s)
+    server.pause_s = 0.0
+
+
 async def crash_server(run: Run, name: str) -> None:
     """Crash a server and start it again, cold if it is an engine."""
     server = _find_server(run, name)
@@ -163,7 +209,7 @@
     link.reset()
     link.repair()
     if server.domain:
-        server.cold_until_s = trio.current_time() + hosted_deployment.COLD_S
+        server.cold_until_s = trio.current_time() + hosted_config.COLD_S
     server.restart()
 
 
@@ -221,8 +267,10 @@
 
 async def evacuate(run: Run, name: str) -> None:
     """Evacuate a data centre and restore it."""
+    run.evacuated.add(name)
     run.deployment.store.put("keyed.op", f"evacuate/{name}", {})
     await run.sleep_random(LONG_FAULT_S)
+    run.evacuated.discard(name)
     run.deployment.store.put("keyed.op", f"evacuate/{name}", None)
 
 
@@ -265,10 +313,13 @@
             store,
         ),
         "store forgets": (expire_history, store),
+        "store restored": (restore_store, store),
         "crash engine": (crash_server, engines),
         "crash server": (crash_server, plain),
         "registry cut": (cut_server_off_registry, engines),
         "drain": (drain_server, engines),
+        "says it leaves": (announce_leaving, engines + plain),
+        "asks for a pause": (ask_for_pause, engines + plain),
         "refusals": (_fail_requests("refuse"), engines + plain),
         "cut answers": (_fail_requests("cut"), engines),
         "failures": (_fail_requests("fail"), engines + plain),
--- a/benchmarks/hosted_soak.py
+++ b/benchmarks/hosted_soak.py
@@ -17,8 +17,10 @@
 
 import trio
 
+from benchmarks import hosted_config
 from benchmarks import hosted_deployment
 from benchmarks import hosted_faults
+from benchmarks import hosted_notices
 from sycamorespool import http_client
 from sycamorespool.standins import hosted_engine
 
@@ -31,7 +33,7 @@
 # A broken answer counts as a failure only if its entry had no fault from so
 # long before the request on.
 UNDISTURBED_S = 1.0
-MODELS = tuple(hosted_deployment.MODELS)
+MODELS = tuple(hosted_config.MODELS)
 # Seeds that have failed, with their steps and causes; run first.
 FAILED_SEEDS = {
     # SIGTERM before the process had installed its signal handlers (an error
@@ -67,6 +69,8 @@
         Attempt id, key and time in s of each charge.
     in_force : dict
         Newest version seen in use, by entry and incarnation.
+    notices : Notices
+        What servers said of themselves in the answers.
     """
 
     def __init__(self, run: hosted_faults.Run) -> None:
@@ -78,6 +82,7 @@
         self.broken_off: list[tuple[str, str]] = []
         self.key_uses: list[tuple[str, str, float]] = []
         self.in_force: dict[tuple[str, int], int] = {}
+        self.notices = hosted_notices.Notices()
 
     async def keep_sending(self, caller: int, stop: trio.Event) -> None:
         """Send one request after the other until ``stop`` is set."""
@@ -96,13 +101,14 @@
         self, pool, entry, attempt, method, path, key="key-0", **h
     ):
         headers = {
-            "host": hosted_deployment.HOST,
+            "host": hosted_config.HOST,
             "authorization": f"Bearer {key}",
             hosted_engine.ATTEMPT_ID: attempt,
             "sycamorespool-deadline-ms": DEADLINE_MS,
             **h,
         }
         sent_s = trio.current_time()
+        process = hosted_notices.Process(entry.name, entry.incarnation)
         try:
             answer = await http_client.exchange(
                 pool,
@@ -122,6 +128,11 @@
             return None
         self.counts[str(answer.status)] += 1
         self._check_answer(attempt, answer)
+        # Another start of the entry may have answered otherwise.
+        if process.incarnation == entry.incarnation:
+            self.notices.note_answer(
+                attempt, process, sent_s, trio.current_time(), answer
+            )
         return answer
 
     def _check_answer(
@@ -200,9 +211,8 @@
         """Check the runs of the servers against the answers to callers."""
         runs: collections.Counter[str] = collections.Counter()
         answered: set[str] = set()
-        for server in (
-            self.deployment.engines | self.deployment.servers
-        ).values():
+        servers = (self.deployment.engines | self.deployment.servers).values()
+        for server in servers:
             runs.update(h[hosted_engine.ATTEMPT_ID] for h in server.runs)
             answered |= server.answered
         failures = self.run.failures
@@ -223,6 +233,7 @@
             ):
                 failures.append(f"{attempt} ran with a revoked key")
         failures += self.deployment.violations
+        failures += self.notices.find_failures(servers)
 
 
 async def _run_callers(run: hosted_faults.Run, steps: int) -> Callers:
