Keep spares with the weights of the groups beside them

A spare with weights that no group of its domain uses loads others.

Ruled out: detection (1.2 s) and joins (1.6 s) are short beside the load.

--- a/src/sycamorespool/decisions/plan_builder.py
+++ b/src/sycamorespool/decisions/plan_builder.py
@@ -12,7 +12,7 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import model_allocation
+from sycamorespool.decisions import spares
 from sycamorespool import routing_table
 
 
@@ -136,22 +136,29 @@
             self.send(make_join_order(vm_id, name, epoch, formation))
 
     def stage_free(self, lacking: abc.Container[str]) -> None:
-        """Load weights on free VMs that have none, before they are needed."""
+        """Load the weights on free VMs that the domain's groups may need."""
+        idle = {
+            vm_id: vm.staged
+            for vm_id, vm in self.free.items()
+            if vm.report is not None and not vm.report.is_busy
+        }
         models = self.view.engine.models
-        names = {model.name for model in models}
-        staged: collections.Counter[str] = collections.Counter()
-        for vm in self.free.values():
-            staged.update(vm.staged & names)
-        for vm_id, vm in self.free.items():
-            if vm.staged & names or vm.report is None or vm.report.is_busy:
-                continue
-            model = model_allocation.choose_model_to_stage(
-                models, lacking, staged
-            )
+        stages = spares.choose_stages(
+            models, self._count_grouped(), idle, lacking
+        )
+        for vm_id, name in stages.items():
+            model = self.view.engine.find_model(name)
             if model is not None:
-                staged[model.name] += 1
                 self._stage(vm_id, model)
 
+    def _count_grouped(self) -> collections.Counter[str]:
+        """Return the number of VMs in groups of each model."""
+        return collections.Counter(
+            domain_view.model_of_group(vm.membership.group)
+            for vm_id, vm in self.view.vms.items()
+            if vm_id not in self.free and vm.membership is not None
+        )
+
     def _stage(self, vm_id: str, model: routing_table.Model) -> None:
         if self.loads >= self.view.load_limit:
             return
