See at once that a VM left its group, and ask often while a group opens

Cause, found by logging an owner's view: the report asked for right after an order to leave still showed the group, and the head, which counted as settled, was asked again only after 0.45 s; a group whose members were joining counted as settled too, so that its ready members were seen up to 1 s late.

An order to leave that an engine carried out is proof by itself: reports that still show that group are out of date, and the engine has counted the order, so that no earlier order to join can follow it. VMs that got an order are asked in each round for 1.2 s, and a domain is not settled until its group opens.

--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/domain_planner.py
@@ -190,11 +190,11 @@
         if state in domain_view.RUNNING_STATES:
             self.memory.formations.pop(group.name, None)
             return
+        self.is_settled = False
         ready = all(
             self._is_confirmed_ready(vm_id) for vm_id in group.members.values()
         )
         if ready:
-            self.is_settled = False
             self.send(
                 backends.Order(
                     head.backend.backend_id,
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -158,11 +158,8 @@
         age_s=trio.current_time() - probe.report_s,
         outcome=outcome.value,
     )
-    if outcome is backends.OrderOutcome.BEGUN:
-        probe.orders = max(probe.orders, expected + 1)
-    elif outcome is backends.OrderOutcome.CONFLICT:
-        # The expected count may have been wrong; the next report corrects it.
-        probe.orders = probe.report.orders
+    now_s = trio.current_time()
+    vm_watch.note_order(probe, order, expected, outcome, now_s)
     if outcome is backends.OrderOutcome.FENCED and unit.fencing_number:
         # Another entry owns the domain, or the engine has seen a newer epoch
         # of the group.
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -8,6 +8,7 @@
 from collections import abc
 import dataclasses
 import math
+import typing as t
 
 import trio
 
@@ -21,6 +22,8 @@
 
 # How long a VM outside the registry that no longer reports is remembered.
 UNLISTED_KEEP_S = 15.0
+# Reports lag behind orders, so a VM is asked often for this long after one.
+ORDER_EFFECT_S = 1.2
 # A little less than the period of an owner whose domains are settled, so that
 # each of its rounds probes the VMs anew.
 SETTLED_PROBE_PERIOD_S = 0.45
@@ -28,6 +31,13 @@
 log = logs.make_logger("groups")
 
 
+class GroupKey(t.NamedTuple):
+    """Names a group by its name and epoch."""
+
+    group: str
+    epoch: int
+
+
 @dataclasses.dataclass(slots=True)
 class Probe:
     """Holds the newest report of one VM and its missed reports.
@@ -46,6 +56,11 @@
     is_leaving : bool
         Whether the VM, once it was no longer in the registry, failed to
         say that it is healthy and stays.
+    ordered_s : float
+        When the VM last answered an order.
+    left : GroupKey or None
+        The group that it left last by an order.  It never joins the same
+        group again, so a report that still shows it is out of date.
     """
 
     report: backends.Report | None = None
@@ -54,6 +69,8 @@
     missing_since_s: float = math.inf
     orders: int = 0
     is_leaving: bool = False
+    ordered_s: float = -math.inf
+    left: GroupKey | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,6 +158,8 @@
     if probe.misses:
         log.info("VM reports its state again", vm=vm_id, count=probe.misses)
     is_same = probe.report and probe.report.started_ms == report.started_ms
+    if not is_same:
+        probe.left = None
     probe.orders = max(probe.orders if is_same else 0, report.orders)
     probe.report = report
     probe.report_s = asked_s
@@ -170,12 +189,15 @@
 ) -> bool:
     """Tell whether a VM is to be asked for a report now.
 
-    VMs whose group is changing or that missed their last report are asked
-    in each round, the others every ``SETTLED_PROBE_PERIOD_S``.
+    VMs whose group is changing, that missed their last report or have just
+    got an order are asked in each round, the others every
+    ``SETTLED_PROBE_PERIOD_S``.
     """
     probe = watch.probes.get(backend.backend_id)
     if probe is None or probe.report is None or probe.misses:
         return True
+    if now_s - probe.ordered_s < ORDER_EFFECT_S:
+        return True
     member = probe.report.membership
     is_settled = member is not None and (
         member.state is backends.MemberState.OPEN
@@ -184,6 +206,51 @@
     return not is_settled or now_s - probe.report_s >= SETTLED_PROBE_PERIOD_S
 
 
+def note_order(
+    probe: Probe,
+    order: backends.Order,
+    expected: int,
+    outcome: backends.OrderOutcome,
+    now_s: float,
+) -> None:
+    """Record the outcome of an order, before a report shows its effect.
+
+    Parameters
+    ----------
+    expected : int
+        Number of orders that the VM was expected to have begun before.
+    """
+    probe.ordered_s = now_s
+    if outcome is backends.OrderOutcome.BEGUN:
+        probe.orders = max(probe.orders, expected + 1)
+    elif outcome is backends.OrderOutcome.CONFLICT and probe.report:
+        # The expected count may have been wrong; the next report corrects it.
+        probe.orders = probe.report.orders
+    elif outcome is backends.OrderOutcome.DONE:
+        _note_done(probe, order, expected)
+
+
+def _note_done(probe: Probe, order: backends.Order, expected: int) -> None:
+    if order.kind is not backends.OrderKind.LEAVE:
+        return
+    # Only a VM that was in the group counts the order, so that it refuses any
+    # earlier order to join that is still on its way.
+    member = probe.report.membership if probe.report else None
+    left = GroupKey(order.group, order.epoch)
+    if member is not None and (member.group, member.epoch) == left:
+        probe.orders = max(probe.orders, expected + 1)
+        probe.left = left
+
+
+def _drop_left_group(probe: Probe) -> backends.Report | None:
+    """Return the newest report without a group that the VM has left."""
+    report = probe.report
+    member = report.membership if report else None
+    if member is None or (member.group, member.epoch) != probe.left:
+        return report
+    return dataclasses.replace(report, membership=None)
+
+
 def start_probes(watch: VmWatch, vms: abc.Iterable[backends.Backend]) -> None:
     """Ask VMs for reports, except those that are being asked already."""
     for backend in vms:
@@ -219,7 +286,7 @@
         backend,
         is_listed,
         not is_listed and not probe.is_leaving,
-        probe.report,
+        _drop_left_group(probe),
         probe.report_s,
         probe.misses,
         probe.missing_since_s,
--- a/tests/decisions/test_domain_planner.py
+++ b/tests/decisions/test_domain_planner.py
@@ -48,6 +48,15 @@
         simulation, memory = make_simulation(), domain_view.PlannerMemory()
         form_big(simulation, memory)
 
+    def test_domain_is_not_settled_until_its_group_opens(self):
+        simulation, memory = make_simulation(), domain_view.PlannerMemory()
+        simulation.probe()
+        simulation.run_owner(1, memory, ["big"])
+        while not simulation.open_groups():
+            simulation.step(0.15)
+            simulation.probe()
+            assert not simulation.run_owner(1, memory, []).is_settled
+
     def test_vms_with_staged_weights_are_preferred(self):
         simulation, memory = (
             make_simulation(4, ""),
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -1,6 +1,12 @@
+"""Tests of the reports of the VMs in an owner's domains."""
+
+import types
+
 import pytest
 
 from sycamorespool import backends
+from sycamorespool.decisions import placement
+from sycamorespool.decisions import registry
 from sycamorespool import vm_watch
 
 SETTLED = ("open", 0), ("ready", 1)
@@ -33,3 +39,59 @@
     def test_silent_and_unknown_vms_are_probed_in_each_round(self):
         assert is_report_due(make_watch("open", 0, misses=1), 10.15)
         assert is_report_due(vm_watch.VmWatch(None, None), 10.15)
+
+    @pytest.mark.parametrize(("state", "rank"), SETTLED)
+    def test_vm_that_got_an_order_is_probed_in_each_round(self, state, rank):
+        watch = make_watch(state, rank, ordered_s=10.0)
+        assert is_report_due(watch, 10.15)
+        effect_s = 10.0 + vm_watch.ORDER_EFFECT_S
+        watch.probes["a"].report_s = effect_s
+        assert not is_report_due(watch, effect_s + 0.1)
+
+
+def leave(watch, outcome=backends.OrderOutcome.DONE, group="m@1"):
+    order = backends.Order("a", backends.OrderKind.LEAVE, group, 1)
+    vm_watch.note_order(watch.probes["a"], order, 0, outcome, 10.1)
+
+
+def view(watch):
+    backend = backends.Backend("a", "s", "10.0.0.1:1", "dc", 1, False)
+    watch.context = types.SimpleNamespace(
+        registry=registry.Registry(),
+        placement_state=placement.PlacementState(None, "dc", {}),
+    )
+    return vm_watch.view_vm(watch, backend, True)
+
+
+class TestNoteOrder:
+    def test_vm_has_no_group_once_it_has_left(self):
+        watch = make_watch("open", 0)
+        assert view(watch).membership is not None
+        leave(watch)
+        assert view(watch).membership is None
+        assert watch.probes["a"].orders == 1
+
+    @pytest.mark.parametrize(
+        ("outcome", "group"),
+        [
+            (backends.OrderOutcome.UNKNOWN, "m@1"),
+            (backends.OrderOutcome.CONFLICT, "m@1"),
+            (backends.OrderOutcome.DONE, "m@2"),
+        ],
+    )
+    def test_group_stays_without_proof_that_the_vm_left_it(
+        self, outcome, group
+    ):
+        watch = make_watch("open", 0)
+        leave(watch, outcome, group)
+        assert view(watch).membership is not None
+        assert watch.probes["a"].orders == 0
+
+    def test_next_group_is_seen(self):
+        watch = make_watch("open", 0)
+        leave(watch)
+        member = backends.Membership("m@2", 2, 0, backends.MemberState.READY)
+        watch.probes["a"].report = backends.Report(
+            2, False, 0, 0, membership=member
+        )
+        assert view(watch).membership == member
