Give up a silent attempt only if another one is granted

Cause: an attempt was cancelled after a silence that depended on the route's objective alone, because a retry was possible when it began.

A running attempt reserves its retry before it is cancelled, and goes on if none is granted; the silence that is allowed grows with the mean time to the first byte. If a member of the server's group is known to be lost, the attempt ends in any case, and the caller gets its answer at once.

--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -25,12 +25,13 @@
 from sycamorespool.platform import headers
 from sycamorespool import relay
 
-# A repeatable request is cancelled and sent to another server after a silence
-# of ``SILENCE_PER_OBJECTIVE`` times the route's objective, but not before
-# these times, for streams and for other answers.
+# A repeatable request may go to another server after a silence of the longest
+# of these: a multiple of the route's objective, a multiple of the mean time to
+# the first byte (TTFB), and a time for streams or for other answers.
+SILENCE_PER_OBJECTIVE = 2.0
+SILENCE_PER_TTFB = 4.0
 MIN_STREAM_SILENCE_S = 1.0
 MIN_ANSWER_SILENCE_S = 0.3
-SILENCE_PER_OBJECTIVE = 2.0
 
 log = logs.make_logger("requests")
 
@@ -43,18 +44,58 @@
     budget: retries.RetryBudget
     excluded: frozenset[str] = frozenset()
 
+    def reserve(self, point: retries.FailurePoint, now_s: float) -> bool:
+        """Reserve the attempt that is to follow one that still runs."""
+        return retries.reserve(self.state, point, self.budget, now_s)
 
-def _find_silence_s(call: calls.Call, tries: Tries) -> float:
-    """Return how long a server may be silent before the attempt is given up.
 
-    The time is infinite if no further attempt may follow, because of the
-    route, the limit of runs or the retry budget.
+@dataclasses.dataclass(slots=True, eq=False)
+class MovableAttempt:
+    """Holds a running attempt that may be given up for one elsewhere.
+
+    Parameters
+    ----------
+    scope : trio.CancelScope
+        Scope of the attempt.
+    silence_s : float
+        Least silence after which it may be given up, apart from the TTFB.
+    silent_since_s : float
+        When the last byte for it came, or when it was sent.
     """
-    is_last = tries.state.runs + 1 >= tries.state.max_runs
-    if is_last or not call.route.is_repeatable or tries.budget.available < 1.0:
-        return math.inf
+
+    scope: trio.CancelScope
+    tries: Tries
+    silence_s: float
+    silent_since_s: float
+
+    def is_overdue(self, mean_ttfb_s: float, now_s: float) -> bool:
+        """Tell whether nothing came for longer than a server needs."""
+        limit_s = max(self.silence_s, SILENCE_PER_TTFB * mean_ttfb_s)
+        return now_s - self.silent_since_s > limit_s
+
+    def try_move(self, now_s: float) -> bool:
+        """Cancel the attempt if another one is granted; tell whether so."""
+        point = retries.FailurePoint.SENT
+        if not self.tries.reserve(point, now_s):
+            return False
+        self.scope.cancel()
+        return True
+
+    def give_up(self, now_s: float) -> None:
+        """Cancel the attempt, also if no other one is granted.
+
+        The caller then gets its final answer at once and may come back.
+        """
+        self.try_move(now_s)
+        self.scope.cancel()
+
+
+def _make_movable(
+    call: calls.Call, tries: Tries, scope: trio.CancelScope, now_s: float
+) -> MovableAttempt:
     least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
-    return max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
+    silence_s = max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
+    return MovableAttempt(scope, tries, silence_s, now_s)
 
 
 def _make_outgoing(
@@ -90,9 +131,11 @@
         self,
         answer: streaming_client.BackendAnswer,
         activity: placement.BackendActivity,
+        movable: MovableAttempt,
     ) -> None:
         self._answer = answer
         self._activity = activity
+        self._movable = movable
         self.first_s = 0.0
         self.status = answer.status
         self.headers = answer.headers
@@ -102,6 +145,7 @@
         data = await self._answer.read()
         now_s = trio.current_time()
         self.first_s = self.first_s or now_s
+        self._movable.silent_since_s = now_s
         placement.note_bytes(self._activity, now_s)
         return data
 
@@ -116,8 +160,8 @@
     caller_answer: relay.Relay,
     tries: Tries,
 ) -> None:
-    is_failure = answer.status >= 500
-    if is_failure and _may_repeat(call, tries):
+    point = retries.FailurePoint.SENT
+    if answer.status >= 500 and tries.reserve(point, trio.current_time()):
         raise exceptions.BackendCut(f"the server answered {answer.status}")
     if call.is_stream and answer.status < 300:
         await caller_answer.copy_events(answer)
@@ -129,14 +173,6 @@
         await caller_answer.copy_whole(answer, is_json=False)
 
 
-def _may_repeat(call: calls.Call, tries: Tries) -> bool:
-    return (
-        call.route.is_repeatable
-        and tries.state.runs + 1 < tries.state.max_runs
-        and tries.budget.available >= 1.0
-    )
-
-
 async def make_attempt(
     context: entry_context.EntryContext,
     call: calls.Call,
@@ -148,23 +184,23 @@
     activity = context.placement_state.activities[backend.backend_id]
     sent_s = trio.current_time()
     context.note_sent(backend, sent_s)
-    silence_s = _find_silence_s(call, tries)
     scope = trio.CancelScope()
-    if silence_s < math.inf:
-        activity.movable.add(scope)
+    movable = _make_movable(call, tries, scope, sent_s)
+    if call.route.is_repeatable:
+        activity.movable.add(movable)
     try:
         with scope:
             async with streaming_client.open_request(
                 context.backend_connections,
                 _make_outgoing(call, backend, caller_answer),
-                silence_s,
+                math.inf,
                 call.end_s,
                 lambda: context.placement_state.may_send(
                     backend, trio.current_time()
                 ),
             ) as answer:
                 note_notice(context, backend, answer.status, answer.headers)
-                watched = _ObservedAnswer(answer, activity)
+                watched = _ObservedAnswer(answer, activity, movable)
                 await _relay(call, watched, caller_answer, tries)
                 if watched.first_s:
                     first_s = watched.first_s - sent_s
@@ -172,7 +208,7 @@
     except exceptions.BackendError as error:
         return error
     finally:
-        activity.movable.discard(scope)
+        activity.movable.discard(movable)
         placement.end(activity)
     if scope.cancelled_caught:
         return exceptions.BackendCut("the server stalled")
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -54,7 +54,7 @@
         When the server last sent a byte, or when the first of its
         unanswered requests was sent; infinite without requests.
     movable : set
-        Handles of the requests that may be sent to another server.
+        The attempts that may be repeated at another server.
     probe_answered_s : float
         When the members of its group last answered a probe.
     suspect_until_s : float
--- a/src/sycamorespool/decisions/retries.py
+++ b/src/sycamorespool/decisions/retries.py
@@ -79,6 +79,8 @@
         Attempts that may have run.
     max_runs : int
         Upper bound of ``runs``.
+    has_reserved : bool
+        Whether the next retry was taken from the budget already.
     """
 
     is_idempotent: bool
@@ -86,6 +88,7 @@
     tries: int = 0
     runs: int = 0
     max_runs: int = MAX_ATTEMPTS
+    has_reserved: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -177,6 +180,20 @@
     return is_left and may_repeat and is_allowed
 
 
+def reserve(
+    call: CallTries, point: FailurePoint, budget: RetryBudget, now_s: float
+) -> bool:
+    """Take the retry that is to follow an attempt which still runs.
+
+    Return whether it is granted.  If not, the attempt is the last chance of
+    the call and should go on.
+    """
+    if not may_try_again(call, point, now_s):
+        return False
+    call.has_reserved = call.has_reserved or _take_retry(budget, now_s)
+    return call.has_reserved
+
+
 def decide(
     call: CallTries, point: FailurePoint, budget: RetryBudget, now_s: float
 ) -> Action:
@@ -184,7 +201,11 @@
     may_continue = may_try_again(call, point, now_s)
     call.tries += 1
     call.runs += point not in NEVER_RUN
-    if may_continue and _take_retry(budget, now_s):
+    is_granted = may_continue and (
+        call.has_reserved or _take_retry(budget, now_s)
+    )
+    call.has_reserved = False
+    if is_granted:
         return ACTION_TABLE[call.is_idempotent, point]
     return choose_final_action(call)
 
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -15,7 +15,10 @@
   answer.
 
 The repeatable attempts at a stalled server are cancelled, so that they are
-repeated at another server, and new requests avoid it for some seconds::
+repeated at another server, and new requests avoid it for some seconds.  A
+single attempt that gets nothing for long is cancelled too, while its server
+serves others.  An attempt for which no retry is granted goes on, unless a
+member of its group is known not to answer::
 
     nursery.start_soon(stall_detection.watch, context)
 """
@@ -55,10 +58,13 @@
             for backend_id, activity in list(
                 context.placement_state.activities.items()
             ):
-                if backend_id in probing or not activity.movable:
+                if not activity.movable:
                     continue
                 backend = context.registry.servers.get(backend_id)
                 mean_ttfb_s = context.placement_state.find_mean_ttfb_s(backend)
+                _move_overdue(activity, mean_ttfb_s, now_s)
+                if backend_id in probing:
+                    continue
                 verdict = placement.detect_stall(activity, mean_ttfb_s, now_s)
                 if (
                     verdict is placement.StallStatus.SUSPECT
@@ -67,9 +73,7 @@
                     probing.add(backend_id)
                     nursery.start_soon(_probe_group, context, backend, probing)
                 elif verdict is not placement.StallStatus.NORMAL:
-                    _move_requests_away(
-                        context, backend_id, "silent for too long"
-                    )
+                    _move_requests_away(context, backend_id)
 
 
 def _restart_silence_clocks(
@@ -83,24 +87,43 @@
     for activity in context.placement_state.activities.values():
         if activity.in_flight:
             activity.silent_since_s = now_s
+        for attempt in activity.movable:
+            attempt.silent_since_s = now_s
+
+
+def _move_overdue(
+    activity: placement.BackendActivity, mean_ttfb_s: float, now_s: float
+) -> None:
+    """Move single attempts that got nothing for long to other servers."""
+    for attempt in activity.movable:
+        if attempt.is_overdue(mean_ttfb_s, now_s):
+            attempt.try_move(now_s)
 
 
 def _move_requests_away(
-    context: entry_context.EntryContext, backend_id: str, reason: str
+    context: entry_context.EntryContext, backend_id: str, lost_id: str = ""
 ) -> None:
-    """Cancel the repeatable attempts at a server and mark it as stalled."""
+    """Cancel the attempts at a server that may go to another one.
+
+    If a member of its group is lost, the others are cancelled too: they will
+    get nothing more.
+    """
     now_s = trio.current_time()
     activity = context.placement_state.activities[backend_id]
-    log.info(
-        "backend server stalled, its requests move to another one",
-        vm=backend_id,
-        age_s=now_s - activity.silent_since_s,
-        count=len(activity.movable),
-        state=reason,
-    )
+    moved = sum(attempt.try_move(now_s) for attempt in activity.movable)
+    if moved or now_s >= activity.suspect_until_s:
+        log.info(
+            "backend server stalled, its requests move to another one",
+            vm=backend_id,
+            age_s=now_s - activity.silent_since_s,
+            count=moved,
+            open=len(activity.movable),
+            state=f"no answer from {lost_id}" if lost_id else "silent",
+        )
+    if lost_id:
+        for attempt in activity.movable:
+            attempt.give_up(now_s)
     placement.note_stall(activity, now_s)
-    for scope in activity.movable:
-        scope.cancel()
 
 
 async def _probe_group(
@@ -123,9 +146,7 @@
         probing.discard(head.backend_id)
     now_s = trio.current_time()
     if unresponsive and placement.is_silent(activity, PROBE_TIMEOUT_S, now_s):
-        _move_requests_away(
-            context, head.backend_id, f"no answer from {unresponsive[0]}"
-        )
+        _move_requests_away(context, head.backend_id, unresponsive[0])
     else:
         activity.probe_answered_s = now_s
 
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -131,3 +131,30 @@
         assert retries.allows(breaker, 0, 3.0)
         retries.note_result(breaker, True, 3.0)
         assert retries.allows(breaker, 5, 3.0)
+
+
+class TestReserve:
+    def test_reserved_retry_is_taken_once(self):
+        call = retries.CallTries(True, 9.0)
+        budget = retries.RetryBudget(1.0, reserve=1.0)
+        sent = retries.FailurePoint.SENT
+        assert retries.reserve(call, sent, budget, 1.0)
+        assert retries.reserve(call, sent, budget, 1.0)
+        assert budget.available == 0.0
+        action = retries.decide(call, sent, budget, 1.0)
+        assert action is retries.Action.RETRY
+        action = retries.decide(call, sent, budget, 1.0)
+        assert action is retries.Action.UNKNOWN
+
+    @pytest.mark.parametrize(
+        ("is_idempotent", "available", "deadline_s"),
+        [(False, 5.0, 9.0), (True, 0.0, 9.0), (True, 5.0, 0.5)],
+    )
+    def test_no_retry_is_reserved_that_would_not_be_made(
+        self, is_idempotent, available, deadline_s
+    ):
+        call = retries.CallTries(is_idempotent, deadline_s)
+        budget = retries.RetryBudget(available, reserve=available)
+        sent = retries.FailurePoint.SENT
+        assert not retries.reserve(call, sent, budget, 1.0)
+        assert budget.available == available
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -1,12 +1,17 @@
+"""Tests of the detection of stalled backend servers."""
+
+import math
 import types
 
 import pytest
 import trio
 import trio.testing
 
+from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
+from sycamorespool.decisions import retries
 from sycamorespool import stall_detection
 
 GROUP_SIZE = 3
@@ -35,7 +40,15 @@
     )
 
 
-def run_watch(monkeypatch, wait_s, unresponsive=(), pause_s=0.0):
+def make_attempt(available=10.0, silence_s=math.inf, is_idempotent=True):
+    call = retries.CallTries(is_idempotent, deadline_s=99.0)
+    budget = retries.RetryBudget(available, reserve=available)
+    tries = attempts.Tries(call, budget)
+    scope = trio.CancelScope()
+    return attempts.MovableAttempt(scope, tries, silence_s, 0.0)
+
+
+def run_watch(monkeypatch, wait_s, unresponsive=(), pause_s=0.0, attempt=None):
     """Watch one request at a head that sends nothing.
 
     Return whether the request was moved away, what the entry recorded of
@@ -54,20 +67,21 @@
     )
     context = make_context()
     activity = context.placement_state.activities["i-0"]
-    scope = trio.CancelScope()
+    attempt = attempt or make_attempt()
 
     async def main():
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stall_detection.watch, context)
             placement.begin(activity, trio.current_time())
-            activity.movable.add(scope)
+            attempt.silent_since_s = trio.current_time()
+            activity.movable.add(attempt)
             if pause_s:
                 # The machine is suspended between two checks.
                 await trio.sleep(1.5 * stall_detection.CHECK_PERIOD_S)
                 clock.jump(pause_s)
             await trio.sleep(wait_s)
             nursery.cancel_scope.cancel()
-            return scope.cancel_called
+            return attempt.scope.cancel_called
 
     clock = trio.testing.MockClock(autojump_threshold=0)
     is_moved = trio.run(main, clock=clock)
@@ -111,3 +125,36 @@
         is_moved, _, probed = run_watch(monkeypatch, wait_s, pause_s=pause_s)
         assert not is_moved
         assert not probed
+
+    @pytest.mark.parametrize(
+        "attempt",
+        [make_attempt(available=0.0), make_attempt(is_idempotent=False)],
+    )
+    def test_attempt_without_a_retry_goes_on_at_a_stalled_server(
+        self, monkeypatch, attempt
+    ):
+        wait_s = 2 * placement.MIN_STALL_SILENCE_S
+        is_moved, activity, _ = run_watch(monkeypatch, wait_s, attempt=attempt)
+        assert not is_moved
+        assert placement.is_suspect(activity, 0.0, wait_s)
+
+    @pytest.mark.parametrize(
+        ("wait_s", "is_expected"), [(0.3, False), (0.5, True)]
+    )
+    def test_single_attempt_that_gets_nothing_for_long_is_moved(
+        self, monkeypatch, wait_s, is_expected
+    ):
+        attempt = make_attempt(silence_s=0.4)
+        is_moved, _, _ = run_watch(monkeypatch, wait_s, attempt=attempt)
+        assert is_moved == is_expected
+
+
+class TestMovableAttempt:
+    def test_silence_is_allowed_for_longer_at_slow_servers(self):
+        attempt = make_attempt(silence_s=1.0)
+        assert not attempt.is_overdue(0.1, 0.9)
+        assert attempt.is_overdue(0.1, 1.1)
+        mean_ttfb_s = 0.5
+        limit_s = attempts.SILENCE_PER_TTFB * mean_ttfb_s
+        assert not attempt.is_overdue(mean_ttfb_s, limit_s)
+        assert attempt.is_overdue(mean_ttfb_s, limit_s + 0.1)
