Call the store less often at the start and without domains

Reads that another entry could serve wait until the list of entries was read, 1.2 s at most after the start; whole reads do not, so readiness is as before. An entry that owns no domain joins every 1.6 s and may miss three joins.

--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -87,6 +87,7 @@
     for name in set(owner.units) - assigned:
         del owner.units[name]
         log.info("ownership of domain ended", unit=name)
+    context.owns_domains = bool(owner.units)
 
 
 async def _claim(owner: DomainOwner, unit: domain_units.Unit) -> None:
--- a/src/sycamorespool/entry_announcements.py
+++ b/src/sycamorespool/entry_announcements.py
@@ -73,6 +73,7 @@
     newest = await context.platform_store.read_newest(wire.ENTRIES_TOPIC)
     for record in newest.records:
         _apply_record(context, record)
+    context.directory_read.set()
     await trio.sleep(PAUSE_S)
     return newest.end
 
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -42,6 +42,9 @@
 # entries that overlap while partitions are reassigned.
 RETRY_EXTRA_FRACTION = 0.4
 MAX_CONNECTIONS = 1024
+# Entries that start together would all read the store on their own until they
+# know each other.
+MAX_DIRECTORY_WAIT_S = 1.2
 
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
@@ -72,6 +75,10 @@
         Whether the registry of the backend servers was read.
     entry_directory : EntryDirectory
         The other entries.
+    directory_read : trio.Event
+        Set once the list of entries was read for the first time.
+    directory_due_s : float
+        Until when reads that another entry could serve wait for that list.
     record_caches : dict
         The newest records that this entry read, by topic.
     share : float
@@ -87,6 +94,8 @@
         Retry budget by service.
     backend_connections : ConnectionPool
         Idle connections to backend servers, for callers' requests.
+    owns_domains : bool
+        Whether this entry forms the groups of any fabric domain.
     requests_open : int
         Number of callers' requests that are being served.
     """
@@ -104,6 +113,8 @@
     entry_directory: store_readers.EntryDirectory = dataclasses.field(
         default_factory=store_readers.EntryDirectory
     )
+    directory_read: trio.Event = dataclasses.field(default_factory=trio.Event)
+    directory_due_s: float = -math.inf
     record_caches: "dict[str, record_cache.RecordCache]" = dataclasses.field(
         default_factory=dict
     )
@@ -124,6 +135,7 @@
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    owns_domains: bool = False
     is_stopping: bool = False
     requests_open: int = 0
     request_closed: trio.Event = dataclasses.field(default_factory=trio.Event)
@@ -268,4 +280,5 @@
         http_client.make_pool(MAX_CONNECTIONS),
         http_client.make_pool(),
         random.Random(f"{settings.entry.name}/{incarnation}"),
+        directory_due_s=trio.current_time() + MAX_DIRECTORY_WAIT_S,
     )
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -13,10 +13,14 @@
 from sycamorespool.platform import store
 from sycamorespool import topic_follower
 
+# Time between two joins of a member that owns fabric domains or whose
+# partitions have just changed, and of any other.  When the latter stops, only
+# its part of the fleet's budgets is unused for a while.
 JOIN_PERIOD_S = 0.8
-# A member that does not join again for so long loses its partitions; the
-# store may demand a longer time (``platform.least_ttl_ms``).
-JOIN_TTL_S = 2.4
+IDLE_JOIN_PERIOD_S = 1.6
+# A member that misses so many joins loses its partitions; the store may
+# demand a longer time (``platform.least_ttl_ms``).
+MISSED_JOINS = 3
 GROUP = "entries"
 # There are enough topics that each entry of a large fleet is assigned a
 # partition.
@@ -27,9 +31,10 @@
 
 def _apply_assignment(
     context: entry_context.EntryContext, assignment: store.Assignment
-) -> None:
+) -> bool:
+    """Apply an assignment; return whether it changed anything."""
     if assignment == context.assignment:
-        return
+        return False
     total = len(TOPICS) * context.settings.platform.partitions
     context.assignment = assignment
     context.set_share(len(assignment.partitions) / total)
@@ -38,6 +43,7 @@
         version=assignment.generation,
         count=len(assignment.partitions),
     )
+    return True
 
 
 def _find_generation(context: entry_context.EntryContext) -> int:
@@ -54,22 +60,26 @@
 async def hold(context: entry_context.EntryContext) -> None:
     """Stay a member of the consumer group until the entry stops."""
     failures = topic_follower.FailureLog(GROUP)
-    ttl_s = max(JOIN_TTL_S, context.settings.platform.least_ttl_ms / 1000)
+    least_ttl_s = context.settings.platform.least_ttl_ms / 1000
+    is_busy = True
     while not context.is_stopping:
         began_s = trio.current_time()
+        period_s = JOIN_PERIOD_S if is_busy else IDLE_JOIN_PERIOD_S
         try:
             assignment = await context.platform_store.join(
                 GROUP,
                 member_name(context),
                 TOPICS,
-                ttl_s,
+                max(least_ttl_s, MISSED_JOINS * period_s),
                 _find_generation(context),
             )
-            _apply_assignment(context, assignment)
+            has_changed = _apply_assignment(context, assignment)
             failures.note_success()
+            is_busy = has_changed or context.owns_domains
         except exceptions.PlatformError as error:
             failures.note_failure(error)
-        await trio.sleep_until(began_s + JOIN_PERIOD_S)
+            is_busy = True
+        await trio.sleep_until(began_s + period_s)
 
 
 async def release(context: entry_context.EntryContext) -> None:
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -135,6 +135,8 @@
     PlatformError
         As :meth:`store.Store.read` raises it.
     """
+    with trio.move_on_at(context.directory_due_s):
+        await context.directory_read.wait()
     context.platform_store.check_position(start)
     page = await _read_from_peer(context, topic, start)
     if page is not None:
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -16,18 +16,31 @@
     def __init__(self, timeline):
         self.newest_timeline = timeline
         self.generations = []
+        self.joins_s = []
+        self.ttls_s = []
 
     async def join(self, group, member, topics, ttl_s, generation):
         self.generations.append(generation)
+        self.joins_s.append(trio.current_time())
+        self.ttls_s.append(ttl_s)
         parts = frozenset({(topics[0], 0)})
         return store.Assignment(3, parts, self.newest_timeline)
 
 
+def hold(context, duration_s):
+    async def main():
+        with trio.move_on_after(duration_s):
+            await partition_share.hold(context)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def make_context(platform_store, assignment):
     return types.SimpleNamespace(
         name="e",
         incarnation=1,
         is_stopping=False,
+        owns_domains=False,
         assignment=assignment,
         platform_store=platform_store,
         set_share=lambda share: None,
@@ -43,9 +56,27 @@
     known = store.Assignment(9, frozenset(), 1)
     context = make_context(platform_store, known)
 
-    async def main():
-        with trio.move_on_after(1.5 * partition_share.JOIN_PERIOD_S):
-            await partition_share.hold(context)
-
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    hold(context, 1.5 * partition_share.JOIN_PERIOD_S)
     assert platform_store.generations == [first, 3]
+
+
+@pytest.mark.parametrize(
+    ("owns_domains", "period_s"),
+    [
+        (True, partition_share.JOIN_PERIOD_S),
+        (False, partition_share.IDLE_JOIN_PERIOD_S),
+    ],
+)
+def test_owner_of_domains_joins_more_often(owns_domains, period_s):
+    platform_store = FakeStore(1)
+    known = store.Assignment(9, frozenset(), 1)
+    context = make_context(platform_store, known)
+    context.owns_domains = owns_domains
+    hold(context, 20.0)
+    times_s = platform_store.joins_s
+    # The first join changes the assignment, so the second follows soon.
+    assert times_s[1] - times_s[0] == pytest.approx(
+        partition_share.JOIN_PERIOD_S
+    )
+    assert times_s[-1] - times_s[-2] == pytest.approx(period_s)
+    assert platform_store.ttls_s[-1] == 3 * period_s
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -23,6 +23,8 @@
     cache = record_cache.RecordCache()
     context = types.SimpleNamespace(
         entry_directory=store_readers.EntryDirectory(),
+        directory_read=trio.Event(),
+        directory_due_s=0.0,
         name="e",
         platform_store=types.SimpleNamespace(
             read=read_store, check_position=lambda position: None
