Ask a settled VM for a report when its next heartbeat is expected

Cause: owners asked each VM twice a second, though a loss is believed only once a heartbeat is overdue. A settled VM whose heartbeat is fresh is asked every 1.4 s, from half a period after it every 0.45 s, in rounds of 0.25 s; a first missing report brings the next plan forward.

--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/domain_planner.py
@@ -59,6 +59,7 @@
     """
     planner = _Planner(view, memory)
     planner.review_groups()
+    planner.review_losses()
     wanted = choose_models([vm.staged for vm in planner.free.values()])
     planner.form_groups(wanted)
     planner.stage_free(lacking)
@@ -92,6 +93,12 @@
             self._review_group(group)
         self._review_formations(reported)
 
+    def review_losses(self) -> None:
+        """Plan again soon if a VM may be lost that does not count as lost."""
+        for vm in self.view.vms.values():
+            if vm.misses and not domain_view.is_lost(vm, self.view):
+                self.is_settled = False
+
     def _review_group(self, group: _Group) -> None:
         head_id = group.members.get(0)
         if head_id is not None:
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -6,13 +6,14 @@
 the claim's place in the log gives the fencing number of its orders, so that
 the engines refuse the orders of earlier owners.
 
-In each round the owner asks its VMs for reports, plans the groups of each
-unit and sends the orders of the plans.
+In each round the owner asks those of its VMs for reports that are due; in
+some it also plans the groups of each unit and sends the orders of the plans.
 """
 
 from collections import abc
 import dataclasses
 import functools
+import math
 
 import trio
 
@@ -33,9 +34,11 @@
 from sycamorespool import routing_table
 from sycamorespool import vm_watch
 
-# Time between rounds, while all units are settled and while groups change.
+# Time between plans, while all units are settled and while groups change.
 SETTLED_PERIOD_S = 0.5
 CHANGING_PERIOD_S = 0.15
+# Time between rounds of probes while all units are settled.
+PROBE_PERIOD_S = 0.25
 CLAIM_RETRY_S = 1.0
 # While no group of a service runs, as at the first start of a fleet, its
 # first groups are formed only when no server was added for this long.
@@ -46,13 +49,22 @@
 
 @dataclasses.dataclass(slots=True)
 class DomainOwner:
-    """Holds an entry's owned fabric domains and what it sees of their VMs."""
+    """Holds an entry's owned fabric domains and what it sees of their VMs.
+
+    Parameters
+    ----------
+    units : dict
+        The owned domains, by name.
+    plan_due_s : float
+        When the groups are planned next.
+    """
 
     context: entry_context.EntryContext
     watch: vm_watch.VmWatch
     units: dict[str, domain_units.Unit] = dataclasses.field(
         default_factory=dict
     )
+    plan_due_s: float = -math.inf
 
 
 def _partition_of(unit: str, partitions: int) -> tuple[str, int]:
@@ -211,6 +223,16 @@
     began_s = trio.current_time()
     vm_watch.update(owner.watch, began_s)
     _update_units(owner)
+    _probe_due_vms(owner, began_s)
+    if began_s >= owner.plan_due_s:
+        is_settled = await _plan_units(owner)
+        period_s = SETTLED_PERIOD_S if is_settled else CHANGING_PERIOD_S
+        owner.plan_due_s = began_s + period_s
+    next_s = min(owner.plan_due_s, began_s + PROBE_PERIOD_S)
+    await trio.sleep_until(next_s)
+
+
+def _probe_due_vms(owner: DomainOwner, now_s: float) -> None:
     for unit in owner.units.values():
         vms = vm_watch.list_vms(
             owner.watch, unit.service, unit.domain
@@ -218,12 +240,14 @@
         due = [
             backend
             for backend, _ in vms
-            if vm_watch.is_report_due(owner.watch, backend, began_s)
+            if vm_watch.is_report_due(owner.watch, backend, now_s)
         ]
         vm_watch.start_probes(owner.watch, due)
+
+
+async def _plan_units(owner: DomainOwner) -> bool:
+    """Plan all units and send the orders; return whether all are settled."""
     async with trio.open_nursery() as nursery:
         for unit in list(owner.units.values()):
             nursery.start_soon(functools.partial(_plan_and_order, owner, unit))
-    is_settled = all(unit.is_settled for unit in owner.units.values())
-    period_s = SETTLED_PERIOD_S if is_settled else CHANGING_PERIOD_S
-    await trio.sleep_until(began_s + period_s)
+    return all(unit.is_settled for unit in owner.units.values())
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -24,9 +24,13 @@
 UNLISTED_KEEP_S = 15.0
 # Reports lag behind orders, so a VM is asked often for this long after one.
 ORDER_EFFECT_S = 1.2
-# A little less than the period of an owner whose domains are settled, so that
-# each of its rounds probes the VMs anew.
+# Time between two probes of a settled VM whose heartbeat is due, and of one
+# whose heartbeats arrive in time.  Reports of the latter must not get too old
+# to plan with (``domain_view.REPORT_MAX_AGE_S``).
 SETTLED_PROBE_PERIOD_S = 0.45
+FRESH_PROBE_PERIOD_S = 1.4
+# A heartbeat is fresh for this part of the time between two.
+FRESH_HEARTBEAT_FRACTION = 0.5
 
 log = logs.make_logger("groups")
 
@@ -190,8 +194,9 @@
     """Tell whether a VM is to be asked for a report now.
 
     VMs whose group is changing, that missed their last report or have just
-    got an order are asked in each round, the others every
-    ``SETTLED_PROBE_PERIOD_S``.
+    got an order are asked in each round.  The others are asked rarely right
+    after a heartbeat, and more often from when the next one is expected, so
+    that a loss is confirmed by the time at which their silence shows it.
     """
     probe = watch.probes.get(backend.backend_id)
     if probe is None or probe.report is None or probe.misses:
@@ -203,7 +208,16 @@
         member.state is backends.MemberState.OPEN
         or (member.rank > 0 and member.state is backends.MemberState.READY)
     )
-    return not is_settled or now_s - probe.report_s >= SETTLED_PROBE_PERIOD_S
+    period_s = SETTLED_PROBE_PERIOD_S
+    if _has_fresh_heartbeat(watch, backend.backend_id, now_s):
+        period_s = FRESH_PROBE_PERIOD_S
+    return not is_settled or now_s - probe.report_s >= period_s
+
+
+def _has_fresh_heartbeat(watch: VmWatch, vm_id: str, now_s: float) -> bool:
+    heartbeat_s = watch.context.settings.platform.heartbeat_ms / 1000
+    last_s = watch.context.registry.last_heartbeat_s.get(vm_id, -math.inf)
+    return now_s - last_s < FRESH_HEARTBEAT_FRACTION * heartbeat_s
 
 
 def note_order(
--- a/tests/decisions/test_domain_planner.py
+++ b/tests/decisions/test_domain_planner.py
@@ -57,6 +57,13 @@
             simulation.probe()
             assert not simulation.run_owner(1, memory, []).is_settled
 
+    def test_domain_is_not_settled_while_a_vm_may_be_lost(self):
+        simulation, memory = make_simulation(), domain_view.PlannerMemory()
+        form_big(simulation, memory)
+        assert simulation.run_owner(1, memory, []).is_settled
+        simulation.probe(cut=frozenset({"i-1"}))
+        assert not simulation.run_owner(1, memory, []).is_settled
+
     def test_vms_with_staged_weights_are_preferred(self):
         simulation, memory = (
             make_simulation(4, ""),
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -1,5 +1,6 @@
 """Tests of the reports of the VMs in an owner's domains."""
 
+import math
 import types
 
 import pytest
@@ -9,6 +10,7 @@
 from sycamorespool.decisions import registry
 from sycamorespool import vm_watch
 
+HEARTBEAT_S = 1.2
 SETTLED = ("open", 0), ("ready", 1)
 CHANGING = ("ready", 0), ("joining", 1), ("closing", 0), ("broken", 0)
 
@@ -17,7 +19,19 @@
     member = backends.Membership("m@1", 1, rank, backends.MemberState(state))
     report = backends.Report(0, False, 0, 0, membership=member)
     found = vm_watch.Probe(report, 10.0, **probe)
-    return vm_watch.VmWatch(None, None, probes={"a": found})
+    return vm_watch.VmWatch(make_context(), None, probes={"a": found})
+
+
+def make_context(last_heartbeat_s=-math.inf):
+    known = registry.Registry()
+    known.last_heartbeat_s["a"] = last_heartbeat_s
+    return types.SimpleNamespace(
+        registry=known,
+        placement_state=placement.PlacementState(known, "dc", {}),
+        settings=types.SimpleNamespace(
+            platform=types.SimpleNamespace(heartbeat_ms=HEARTBEAT_S * 1000)
+        ),
+    )
 
 
 def is_report_due(watch, now_s):
@@ -32,6 +46,19 @@
         assert not is_report_due(watch, 10.15)
         assert is_report_due(watch, 10.01 + vm_watch.SETTLED_PROBE_PERIOD_S)
 
+    @pytest.mark.parametrize(
+        ("heartbeat_age_s", "report_age_s", "is_due"),
+        [(0.1, 0.5, False), (0.1, 1.5, True), (0.7, 0.3, False)]
+        + [(0.7, 0.5, True), (9.0, 0.5, True)],
+    )
+    def test_vm_is_probed_when_its_next_heartbeat_is_expected(
+        self, heartbeat_age_s, report_age_s, is_due
+    ):
+        watch = make_watch("open", 0)
+        now_s = 10.0 + report_age_s
+        watch.context = make_context(now_s - heartbeat_age_s)
+        assert is_report_due(watch, now_s) == is_due
+
     @pytest.mark.parametrize(("state", "rank"), CHANGING)
     def test_changing_vm_is_probed_in_each_round(self, state, rank):
         assert is_report_due(make_watch(state, rank), 10.15)
@@ -56,10 +83,6 @@
 
 def view(watch):
     backend = backends.Backend("a", "s", "10.0.0.1:1", "dc", 1, False)
-    watch.context = types.SimpleNamespace(
-        registry=registry.Registry(),
-        placement_state=placement.PlacementState(None, "dc", {}),
-    )
     return vm_watch.view_vm(watch, backend, True)
 
 
