Do not prefer groups of the own data centre among equals

Cause: of 91 entries each has a request or two in flight, so nearly all groups are equal to it, and the preference decided: the entries of a data centre with one group of a model would send it all their requests.

--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -5,10 +5,14 @@
 
     target = choose(placement, request, now_s, tie_breaker, may_take)
 
-The least loaded group gets the request; among equals, one in the entry's
-own data centre.  A group becomes suspect when none of its streams makes
-progress, even before its owner has detected the failure.  It then gets no
-request while another group can serve it.
+The least loaded group gets the request; among equals, one at random.  The
+entry's own data centre is not preferred: an entry of a large fleet has few
+requests in flight, so that nearly all groups are equal to it, and the entries
+of a data centre would together overload the few groups there.
+
+A group becomes suspect when none of its streams makes progress, even before
+its owner has detected the failure.  It then gets no request while another
+group can serve it.
 """
 
 import collections
@@ -32,9 +36,8 @@
 STALL_PER_TTFB = 4.0
 # Weight of the newest sample in the moving average of the TTFB.
 TTFB_WEIGHT = 0.05
-# Penalties are added to a load, which is a fraction of the server's slots.
-REMOTE_PENALTY = 0.05
-# Ranks a suspect server behind every other one.
+# Added to a load, which is a fraction of the server's slots; ranks a suspect
+# server behind every other one.
 SUSPECT_PENALTY = 1000.0
 # About as long as an owner takes to end a group that lost a member.
 SUSPECT_HOLD_S = 3.0
@@ -147,8 +150,6 @@
     ----------
     registry : Registry
         The known backend servers.
-    data_centre : str
-        Data centre of this entry.
     regions : mapping
         Region by data centre.
     evacuated : set of str
@@ -169,7 +170,6 @@
     """
 
     registry: registry.Registry
-    data_centre: str
     regions: abc.Mapping[str, str]
     evacuated: set[str] = dataclasses.field(default_factory=set)
     activities: collections.defaultdict[str, BackendActivity] = (
@@ -365,8 +365,6 @@
     def compute_load(backend: backends.Backend) -> float:
         activity = placement.activities.get(backend.backend_id)
         load = activity.in_flight / max(1, backend.slots) if activity else 0.0
-        if backend.data_centre != placement.data_centre:
-            load += REMOTE_PENALTY
         mean_ttfb_s = placement.find_mean_ttfb_s(backend)
         if activity and is_suspect(activity, mean_ttfb_s, now_s):
             load += SUSPECT_PENALTY
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -274,9 +274,7 @@
         settings,
         incarnation,
         store.Store(pool, settings.platform.address),
-        placement.PlacementState(
-            registry.Registry(), settings.entry.data_centre, regions
-        ),
+        placement.PlacementState(registry.Registry(), regions),
         http_client.make_pool(MAX_CONNECTIONS),
         http_client.make_pool(),
         random.Random(f"{settings.entry.name}/{incarnation}"),
