Leave a server that refuses in a row alone for longer

Cause: a full server refuses at once, so it has few requests in flight and looks like the least loaded one; it was blocked for 0.15 s only and drew the retries of all entries. Blocks double up to 0.6 s until it accepts one.

--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -17,8 +17,8 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool import calls
-from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
+from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
@@ -130,7 +130,7 @@
     def __init__(
         self,
         answer: streaming_client.BackendAnswer,
-        activity: placement.BackendActivity,
+        activity: server_activity.BackendActivity,
         movable: MovableAttempt,
     ) -> None:
         self._answer = answer
@@ -146,7 +146,7 @@
         now_s = trio.current_time()
         self.first_s = self.first_s or now_s
         self._movable.silent_since_s = now_s
-        placement.note_bytes(self._activity, now_s)
+        server_activity.note_bytes(self._activity, now_s)
         return data
 
     async def finish(self) -> None:
@@ -200,6 +200,7 @@
                 ),
             ) as answer:
                 note_notice(context, backend, answer.status, answer.headers)
+                activity.refusals = 0
                 watched = _ObservedAnswer(answer, activity, movable)
                 await _relay(call, watched, caller_answer, tries)
                 if watched.first_s:
@@ -209,7 +210,7 @@
         return error
     finally:
         activity.movable.discard(movable)
-        placement.end(activity)
+        server_activity.end(activity)
     if scope.cancelled_caught:
         return exceptions.BackendCut("the server stalled")
     return None
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -18,130 +18,26 @@
 import collections
 from collections import abc
 import dataclasses
-import enum
 import math
-import typing as t
 
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import registry
+from sycamorespool.decisions import server_activity
 
-# A server becomes suspect, and its members are probed, after the longer of
-# this silence and the given multiple of its mean time to first byte (TTFB).
-MIN_SUSPECT_SILENCE_S = 0.25
-SUSPECT_SILENCE_PER_TTFB = 1.5
-# After the longer of the next two times the server counts as stalled, whatever
-# its members answer, and its requests move to other servers.
-MIN_STALL_SILENCE_S = 0.9
-STALL_PER_TTFB = 4.0
 # Weight of the newest sample in the moving average of the TTFB.
 TTFB_WEIGHT = 0.05
 # Added to a load, which is a fraction of the server's slots; ranks a suspect
 # server behind every other one.
 SUSPECT_PENALTY = 1000.0
-# About as long as an owner takes to end a group that lost a member.
-SUSPECT_HOLD_S = 3.0
+# How long no request goes to a server that refused one: the first time, and
+# at most after several refusals in a row.
+REFUSED_BLOCK_S = 0.15
+MAX_REFUSED_BLOCK_S = 0.6
 # Servers whose leaving is remembered; the oldest are forgotten first.
 MAX_LEAVING = 4096
 
 
-@dataclasses.dataclass(slots=True)
-class BackendActivity:
-    """Holds this entry's requests at one backend server, and its responses.
-
-    Parameters
-    ----------
-    in_flight : int
-        Requests of this entry at the server.
-    silent_since_s : float
-        When the server last sent a byte, or when the first of its
-        unanswered requests was sent; infinite without requests.
-    movable : set
-        The attempts that may be repeated at another server.
-    probe_answered_s : float
-        When the members of its group last answered a probe.
-    suspect_until_s : float
-        Until when the server stays suspect without requests in flight,
-        after these were moved to other servers.
-    """
-
-    in_flight: int = 0
-    silent_since_s: float = math.inf
-    probe_answered_s: float = -math.inf
-    suspect_until_s: float = -math.inf
-    movable: set[t.Any] = dataclasses.field(default_factory=set)
-
-
-def begin(activity: BackendActivity, now_s: float) -> None:
-    """Record that a request is sent to a server."""
-    if not activity.in_flight:
-        activity.silent_since_s = now_s
-    activity.in_flight += 1
-
-
-def note_bytes(activity: BackendActivity, now_s: float) -> None:
-    """Record that bytes arrived from a server."""
-    activity.silent_since_s = now_s
-    activity.suspect_until_s = -math.inf
-
-
-def note_stall(activity: BackendActivity, now_s: float) -> None:
-    """Keep a stalled server suspect after its requests are moved away."""
-    activity.suspect_until_s = now_s + SUSPECT_HOLD_S
-
-
-def end(activity: BackendActivity) -> None:
-    """Record that a request at a server has ended."""
-    activity.in_flight -= 1
-    if not activity.in_flight:
-        activity.silent_since_s = math.inf
-
-
-def is_silent(
-    activity: BackendActivity, silence_s: float, now_s: float
-) -> bool:
-    """Tell whether a server has sent nothing for over ``silence_s``."""
-    return now_s - activity.silent_since_s > silence_s
-
-
-class StallStatus(enum.StrEnum):
-    """Names the result of the stall detection for one backend server."""
-
-    NORMAL = "usual"
-    SUSPECT = "doubtful"
-    STALLED = "standstill"
-
-
-def detect_stall(
-    activity: BackendActivity, mean_ttfb_s: float, now_s: float
-) -> StallStatus:
-    """Classify the silence of a server relative to its mean TTFB.
-
-    Scaling by the TTFB keeps a fleet that is slow under load from being
-    taken for a stalled one.  A server whose members answered a probe
-    lately gets more time.
-    """
-    stalled_s = max(MIN_STALL_SILENCE_S, STALL_PER_TTFB * mean_ttfb_s)
-    if is_silent(activity, stalled_s, now_s):
-        return StallStatus.STALLED
-    suspect_s = max(
-        MIN_SUSPECT_SILENCE_S, SUSPECT_SILENCE_PER_TTFB * mean_ttfb_s
-    )
-    has_answered_probe = now_s - activity.probe_answered_s < suspect_s
-    if has_answered_probe or not is_silent(activity, suspect_s, now_s):
-        return StallStatus.NORMAL
-    return StallStatus.SUSPECT
-
-
-def is_suspect(
-    activity: BackendActivity, mean_ttfb_s: float, now_s: float
-) -> bool:
-    """Tell whether a server is suspect or stalled, or was so lately."""
-    is_kept_suspect = now_s < activity.suspect_until_s
-    verdict = detect_stall(activity, mean_ttfb_s, now_s)
-    return is_kept_suspect or verdict is not StallStatus.NORMAL
-
-
 @dataclasses.dataclass(slots=True)
 class PlacementState:
     """Holds what an entry knows when it places a request.
@@ -172,9 +68,11 @@
     registry: registry.Registry
     regions: abc.Mapping[str, str]
     evacuated: set[str] = dataclasses.field(default_factory=set)
-    activities: collections.defaultdict[str, BackendActivity] = (
-        dataclasses.field(
-            default_factory=lambda: collections.defaultdict(BackendActivity)
+    activities: collections.defaultdict[
+        str, server_activity.BackendActivity
+    ] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            server_activity.BackendActivity
         )
     )
     blocked_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -199,6 +97,18 @@
             known_s = self.backoff_until_s.get(backend_id, until_s)
             self.backoff_until_s[backend_id] = max(until_s, known_s)
 
+    def note_refusal(self, backend_id: str, now_s: float) -> None:
+        """Block a server that refused a request, each time for longer.
+
+        A full server refuses at once, so it has few requests in flight and
+        would look like the least loaded one.
+        """
+        activity = self.activities[backend_id]
+        block_s = REFUSED_BLOCK_S * 2.0**activity.refusals
+        activity.refusals += 1
+        until_s = now_s + min(MAX_REFUSED_BLOCK_S, block_s)
+        self.blocked_until_s[backend_id] = until_s
+
     def is_leaving(self, backend: backends.Backend) -> bool:
         """Tell whether a server drains or said that it leaves."""
         said_ms = self.leaving_ms.get(backend.backend_id)
@@ -366,7 +276,9 @@
         activity = placement.activities.get(backend.backend_id)
         load = activity.in_flight / max(1, backend.slots) if activity else 0.0
         mean_ttfb_s = placement.find_mean_ttfb_s(backend)
-        if activity and is_suspect(activity, mean_ttfb_s, now_s):
+        if activity and server_activity.is_suspect(
+            activity, mean_ttfb_s, now_s
+        ):
             load += SUSPECT_PENALTY
         return load
 
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -25,6 +25,7 @@
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
 from sycamorespool.decisions import retries
+from sycamorespool.decisions import server_activity
 from sycamorespool.decisions import store_readers
 from sycamorespool import http_client
 from sycamorespool import metrics
@@ -233,7 +234,7 @@
 
     def note_sent(self, backend: backends.Backend, now_s: float) -> None:
         """Record that a request is sent to a server."""
-        placement.begin(
+        server_activity.begin(
             self.placement_state.activities[backend.backend_id], now_s
         )
         until_s = self.registry.cold_until_s.get(backend.backend_id, now_s)
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -24,9 +24,8 @@
 NO_SERVER_RETRY_AFTER_S = 1.0
 # With less time than this until its deadline, a call makes no attempt.
 MIN_TIME_LEFT_S = 0.02
-# How long no request goes to a server that refused one, that said it is not
-# the expected server (status 421), or that could not be reached.
-REFUSED_BLOCK_S = 0.15
+# How long no request goes to a server that said it is not the expected one
+# (status 421), or that could not be reached.
 MISDIRECTED_BLOCK_S = 2.0
 UNREACHED_BLOCK_S = 1.0
 # Fraction of ``bounds.retry_ratio`` that an entry spends, as the limit holds
@@ -65,9 +64,10 @@
     blocked = context.placement_state.blocked_until_s
     if isinstance(error, exceptions.BackendRefused):
         attempts.note_notice(context, backend, error.status, error.headers)
-        is_misdirected = error.status == headers.MISDIRECTED
-        block_s = MISDIRECTED_BLOCK_S if is_misdirected else REFUSED_BLOCK_S
-        blocked[backend_id] = now_s + block_s
+        if error.status == headers.MISDIRECTED:
+            blocked[backend_id] = now_s + MISDIRECTED_BLOCK_S
+        else:
+            context.placement_state.note_refusal(backend_id, now_s)
         return
     if isinstance(error, exceptions.BackendNotReached):
         blocked[backend_id] = now_s + UNREACHED_BLOCK_S
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -6,7 +6,7 @@
 nothing more once a member of its group is lost, and neither does a server
 that has failed itself; an overloaded server is silent for a while, too.  So
 there are two limits, which depend on the service's usual time to the first
-byte (see :mod:`sycamorespool.decisions.placement`):
+byte (see :mod:`sycamorespool.decisions.server_activity`):
 
 - After the shorter one, the members of the server's group are asked for a
   report.  If a member does not answer, the server counts as stalled; if all
@@ -28,8 +28,8 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
+from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
 from sycamorespool import logs
 from sycamorespool.platform import engines
@@ -65,14 +65,16 @@
                 _move_overdue(activity, mean_ttfb_s, now_s)
                 if backend_id in probing:
                     continue
-                verdict = placement.detect_stall(activity, mean_ttfb_s, now_s)
+                verdict = server_activity.detect_stall(
+                    activity, mean_ttfb_s, now_s
+                )
                 if (
-                    verdict is placement.StallStatus.SUSPECT
+                    verdict is server_activity.StallStatus.SUSPECT
                     and backend is not None
                 ):
                     probing.add(backend_id)
                     nursery.start_soon(_probe_group, context, backend, probing)
-                elif verdict is not placement.StallStatus.NORMAL:
+                elif verdict is not server_activity.StallStatus.NORMAL:
                     _move_requests_away(context, backend_id)
 
 
@@ -92,7 +94,7 @@
 
 
 def _move_overdue(
-    activity: placement.BackendActivity, mean_ttfb_s: float, now_s: float
+    activity: server_activity.BackendActivity, mean_ttfb_s: float, now_s: float
 ) -> None:
     """Move single attempts that got nothing for long to other servers."""
     for attempt in activity.movable:
@@ -123,7 +125,7 @@
     if lost_id:
         for attempt in activity.movable:
             attempt.give_up(now_s)
-    placement.note_stall(activity, now_s)
+    server_activity.note_stall(activity, now_s)
 
 
 async def _probe_group(
@@ -145,7 +147,9 @@
     finally:
         probing.discard(head.backend_id)
     now_s = trio.current_time()
-    if unresponsive and placement.is_silent(activity, PROBE_TIMEOUT_S, now_s):
+    if unresponsive and server_activity.is_silent(
+        activity, PROBE_TIMEOUT_S, now_s
+    ):
         _move_requests_away(context, head.backend_id, unresponsive[0])
     else:
         activity.probe_answered_s = now_s
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -8,6 +8,7 @@
 from sycamorespool import backends
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
+from sycamorespool.decisions import server_activity
 
 
 ENTRIES = 200
@@ -51,7 +52,7 @@
             make_server("a", "dc2"), make_server("b"), make_server("c")
         )
         for vm_id in ("b", "c"):
-            placement.begin(state.activities[vm_id], 0.0)
+            server_activity.begin(state.activities[vm_id], 0.0)
         assert choose(state) == "a"
 
     @pytest.mark.parametrize(
@@ -114,6 +115,34 @@
         assert max(chosen.values()) < 1.5 * ENTRIES / len(heads)
 
 
+class TestRefusals:
+    def test_server_that_refuses_again_and_again_is_left_alone_longer(self):
+        state = make_state(make_server("a"))
+        now_s, blocks_s = 0.0, []
+        for _ in range(4):
+            state.note_refusal("a", now_s)
+            until_s = state.blocked_until_s["a"]
+            assert choose(state, now_s=until_s - 0.01) is None
+            assert choose(state, now_s=until_s) == "a"
+            blocks_s.append(until_s - now_s)
+            now_s = until_s
+        longest_s = placement.MAX_REFUSED_BLOCK_S
+        assert blocks_s == pytest.approx([0.15, 0.3, longest_s, longest_s])
+
+    def test_full_server_does_not_draw_the_requests_of_many_entries(self):
+        """Play entries with a request each 0.15 s; one of two is full."""
+        arrivals = 0
+        for _ in range(ENTRIES):
+            state = make_state(make_server("full"), make_server("open"))
+            server_activity.begin(state.activities["open"], 0.0)
+            for step in range(20):
+                now_s = step * placement.REFUSED_BLOCK_S
+                if choose(state, now_s=now_s + 1e-6) == "full":
+                    arrivals += 1
+                    state.note_refusal("full", now_s)
+        assert arrivals < ENTRIES * 20 / 2
+
+
 class TestNotices:
     def test_server_that_leaves_is_not_chosen_again(self):
         state = make_state(make_server("a", started_ms=5))
@@ -176,11 +205,11 @@
 class TestStallDetection:
     def test_silent_server_is_chosen_last_until_it_sends_bytes(self):
         state = make_state(make_server("a"), make_server("b", "dc2"))
-        placement.begin(state.activities["a"], 0.0)
-        now_s = placement.MIN_SUSPECT_SILENCE_S + 0.1
+        server_activity.begin(state.activities["a"], 0.0)
+        now_s = server_activity.MIN_SUSPECT_SILENCE_S + 0.1
         assert choose(state, now_s=now_s) == "b"
-        placement.note_bytes(state.activities["a"], now_s)
-        placement.end(state.activities["a"])
+        server_activity.note_bytes(state.activities["a"], now_s)
+        server_activity.end(state.activities["a"])
         assert choose(state, now_s=now_s) == "a"
 
     @pytest.mark.parametrize(
@@ -199,12 +228,13 @@
     def test_thresholds_scale_with_mean_ttfb(
         self, mean_ttfb_s, silent_s, probe_answer_s, status
     ):
-        activity = placement.BackendActivity()
-        placement.begin(activity, 0.0)
+        activity = server_activity.BackendActivity()
+        server_activity.begin(activity, 0.0)
         if probe_answer_s is not None:
             activity.probe_answered_s = probe_answer_s
         assert (
-            placement.detect_stall(activity, mean_ttfb_s, silent_s) == status
+            server_activity.detect_stall(activity, mean_ttfb_s, silent_s)
+            == status
         )
 
     def test_mean_ttfb_is_kept_per_model(self):
@@ -219,11 +249,11 @@
     def test_stalled_server_stays_suspect_after_its_requests_moved(self):
         state = make_state(make_server("a"), make_server("b", "dc2"))
         activity = state.activities["a"]
-        placement.begin(activity, 0.0)
-        placement.note_stall(activity, 1.0)
-        placement.end(activity)
+        server_activity.begin(activity, 0.0)
+        server_activity.note_stall(activity, 1.0)
+        server_activity.end(activity)
         assert choose(state, now_s=1.0) == "b"
-        assert choose(state, now_s=1.0 + placement.SUSPECT_HOLD_S) == "a"
+        assert choose(state, now_s=1.0 + server_activity.SUSPECT_HOLD_S) == "a"
 
     @pytest.mark.parametrize("event", ["bytes", "new group"])
     def test_suspicion_ends_on_bytes_or_a_new_group(self, event):
@@ -232,10 +262,10 @@
             make_member("b", "m@2", 0, "open", data_centre="dc2"),
         )
         constraints = placement.PlacementRequest("s", "m")
-        placement.note_stall(state.activities["a"], 1.0)
+        server_activity.note_stall(state.activities["a"], 1.0)
         assert choose(state, constraints, now_s=1.1) == "b"
         if event == "bytes":
-            placement.note_bytes(state.activities["a"], 1.1)
+            server_activity.note_bytes(state.activities["a"], 1.1)
         else:
             after = make_member("a", "m@7", 0, "open")
             state.clear_stale_suspicion(state.registry.servers["a"], after)
@@ -243,5 +273,5 @@
 
     def test_suspect_server_is_chosen_if_there_is_no_other(self):
         state = make_state(make_server("a"))
-        placement.note_stall(state.activities["a"], 1.0)
+        server_activity.note_stall(state.activities["a"], 1.0)
         assert choose(state, now_s=1.1) == "a"
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -12,6 +12,7 @@
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import retries
+from sycamorespool.decisions import server_activity
 from sycamorespool import stall_detection
 
 GROUP_SIZE = 3
@@ -72,7 +73,7 @@
     async def main():
         async with trio.open_nursery() as nursery:
             nursery.start_soon(stall_detection.watch, context)
-            placement.begin(activity, trio.current_time())
+            server_activity.begin(activity, trio.current_time())
             attempt.silent_since_s = trio.current_time()
             activity.movable.add(attempt)
             if pause_s:
@@ -101,26 +102,28 @@
         self, monkeypatch, unresponsive
     ):
         limit_s = (
-            placement.MIN_SUSPECT_SILENCE_S
+            server_activity.MIN_SUSPECT_SILENCE_S
             + 2 * stall_detection.PROBE_TIMEOUT_S
         )
         is_moved, activity, _ = run_watch(monkeypatch, limit_s, {unresponsive})
         assert is_moved
-        assert placement.is_suspect(activity, 0.0, limit_s)
+        assert server_activity.is_suspect(activity, 0.0, limit_s)
 
     def test_long_silence_moves_requests_whatever_the_members_answer(
         self, monkeypatch
     ):
         wait_s = (
-            placement.MIN_STALL_SILENCE_S + 2 * stall_detection.CHECK_PERIOD_S
+            server_activity.MIN_STALL_SILENCE_S
+            + 2 * stall_detection.CHECK_PERIOD_S
         )
         is_moved, _, _ = run_watch(monkeypatch, wait_s)
         assert is_moved
 
     def test_entry_that_was_paused_measures_silence_anew(self, monkeypatch):
-        pause_s = 2 * placement.MIN_STALL_SILENCE_S
+        pause_s = 2 * server_activity.MIN_STALL_SILENCE_S
         wait_s = (
-            placement.MIN_SUSPECT_SILENCE_S - stall_detection.CHECK_PERIOD_S
+            server_activity.MIN_SUSPECT_SILENCE_S
+            - stall_detection.CHECK_PERIOD_S
         )
         is_moved, _, probed = run_watch(monkeypatch, wait_s, pause_s=pause_s)
         assert not is_moved
@@ -133,10 +136,10 @@
     def test_attempt_without_a_retry_goes_on_at_a_stalled_server(
         self, monkeypatch, attempt
     ):
-        wait_s = 2 * placement.MIN_STALL_SILENCE_S
+        wait_s = 2 * server_activity.MIN_STALL_SILENCE_S
         is_moved, activity, _ = run_watch(monkeypatch, wait_s, attempt=attempt)
         assert not is_moved
-        assert placement.is_suspect(activity, 0.0, wait_s)
+        assert server_activity.is_suspect(activity, 0.0, wait_s)
 
     @pytest.mark.parametrize(
         ("wait_s", "is_expected"), [(0.3, False), (0.5, True)]
