--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -36,6 +36,27 @@
     return run
 
 
+class TestIntermittent:
+    @pytest.mark.parametrize(
+        ("entry", "selected", "outcome", "counts"),
+        [
+            (RED, "red", "failed", {"xfailed": 1, "deselected": 1}),
+            (GREEN, "green", "passed", {"passed": 1, "deselected": 1}),
+        ],
+    )
+    def test_either_outcome_is_tolerated_and_printed(
+        self, run_suite, entry, selected, outcome, counts
+    ):
+        result = run_suite(f"{entry} | intermittent\n", "-k", selected)
+        result.assert_outcomes(**counts)
+        assert result.ret == pytest.ExitCode.OK
+        result.stdout.fnmatch_lines([f"*(intermittent, {outcome})"])
+
+    def test_other_fifth_field_is_rejected(self, run_suite):
+        result = run_suite(f"{RED} | sometimes\n")
+        assert result.ret == pytest.ExitCode.USAGE_ERROR
+
+
 class TestKnownRed:
     def test_unlisted_failure_fails_the_run(self, run_suite):
         result = run_suite("# nothing is listed\n")
