--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -92,8 +92,8 @@
 ) -> abc.Generator[None, pytest.TestReport, pytest.TestReport]:
     """Report a listed test as expected to fail, and fail it if it passes.
 
-    An intermittent one may pass.  This covers only the call of the test: an error in a fixture fails the
-    run.
+    An intermittent one may pass.  This covers only the call of the test: an
+    error in a fixture fails the run.
     """
     report = yield
     entry = item.config.stash[ENTRIES].get(item.nodeid)
