--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -61,12 +61,16 @@
         Least silence after which it may be given up, apart from the TTFB.
     silent_since_s : float
         When the last byte for it came, or when it was sent.
+    is_waiting : bool
+        Whether it waits for the server.  While it waits for the caller to
+        read, part of an event may be on its way, so it cannot be moved.
     """
 
     scope: trio.CancelScope
     tries: Tries
     silence_s: float
     silent_since_s: float
+    is_waiting: bool = True
 
     def is_overdue(self, mean_ttfb_s: float, now_s: float) -> bool:
         """Tell whether nothing came for longer than a server needs."""
@@ -76,7 +80,7 @@
     def try_move(self, now_s: float) -> bool:
         """Cancel the attempt if another one is granted; tell whether so."""
         point = retries.FailurePoint.SENT
-        if not self.tries.reserve(point, now_s):
+        if not self.is_waiting or not self.tries.reserve(point, now_s):
             return False
         self.scope.cancel()
         return True
@@ -86,8 +90,8 @@
 
         The caller then gets its final answer at once and may come back.
         """
-        self.try_move(now_s)
-        self.scope.cancel()
+        if not self.try_move(now_s) and self.is_waiting:
+            self.scope.cancel()
 
 
 def _make_movable(
@@ -142,7 +146,9 @@
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, none at the end."""
+        self._movable.is_waiting = True
         data = await self._answer.read()
+        self._movable.is_waiting = False
         now_s = trio.current_time()
         self.first_s = self.first_s or now_s
         self._movable.silent_since_s = now_s
@@ -201,6 +207,7 @@
             ) as answer:
                 note_notice(context, backend, answer.status, answer.headers)
                 activity.refusals = 0
+                movable.is_waiting = False
                 watched = _ObservedAnswer(answer, activity, movable)
                 await _relay(call, watched, caller_answer, tries)
                 if watched.first_s:
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -141,6 +141,19 @@
         assert not is_moved
         assert server_activity.is_suspect(activity, 0.0, wait_s)
 
+    def test_attempt_without_a_retry_ends_once_a_member_is_lost(
+        self, monkeypatch
+    ):
+        limit_s = (
+            server_activity.MIN_SUSPECT_SILENCE_S
+            + 2 * stall_detection.PROBE_TIMEOUT_S
+        )
+        attempt = make_attempt(available=0.0)
+        is_moved, _, _ = run_watch(
+            monkeypatch, limit_s, {"10.0.0.2:1"}, attempt=attempt
+        )
+        assert is_moved
+
     @pytest.mark.parametrize(
         ("wait_s", "is_expected"), [(0.3, False), (0.5, True)]
     )
@@ -153,6 +166,20 @@
 
 
 class TestMovableAttempt:
+    def test_attempt_that_waits_for_its_caller_is_not_moved(self):
+        attempt = make_attempt()
+        attempt.is_waiting = False
+
+        async def main():
+            assert not attempt.try_move(1.0)
+            attempt.give_up(1.0)
+            assert not attempt.scope.cancel_called
+            assert attempt.tries.budget.available == 10.0
+            attempt.is_waiting = True
+            assert attempt.try_move(1.0)
+
+        trio.run(main)
+
     def test_silence_is_allowed_for_longer_at_slow_servers(self):
         attempt = make_attempt(silence_s=1.0)
         assert not attempt.is_overdue(0.1, 0.9)
