--- a/tests/decisions/test_spares.py
+++ b/tests/decisions/test_spares.py
@@ -87,7 +87,11 @@
         run_until(20.0, [])
         (first,) = simulation.open_groups()
         simulation.kill("i-1")
-        # Long enough to notice the loss and to join, but not for a load.
-        run_until(3.9 + engine_simulation.BIG.warm_s, ["big"])
+        # Long enough to notice the loss, for some rounds and to join, but not
+        # for a load.
+        notice_s = (
+            domain_view.HEARTBEATS_BEFORE_LOST * engine_simulation.HEARTBEAT_S
+        )
+        run_until(notice_s + 0.9 + engine_simulation.BIG.warm_s, ["big"])
         (second,) = simulation.open_groups()
         assert second != first
