Let the models take turns only where their targets need it

Where the former order reaches all targets, turns gain nothing and spread the models over domains in another way.

That fleet's test with domains of 27 VMs passes as before.

--- a/src/sycamorespool/decisions/model_allocation.py
+++ b/src/sycamorespool/decisions/model_allocation.py
@@ -46,6 +46,12 @@
     )
     free: list[frozenset[str]] = dataclasses.field(default_factory=list)
 
+    def copy(self) -> "DomainCapacity":
+        """Return a copy that can be changed by itself."""
+        return DomainCapacity(
+            self.data_centre, self.grouped.copy(), list(self.free)
+        )
+
     def count_staged(self, model: str) -> int:
         """Return how many free VMs have the weights of a model."""
         return sum(model in staged for staged in self.free)
@@ -135,17 +141,33 @@
     models : sequence of Model
         The models of one service.
     domains : mapping
-        The groups and free VMs of each domain; changed by the call.
+        The groups and free VMs of each domain.
     """
+    is_empty = not count_groups(domains).total()
+    drafts = [_draft(models, domains, does_alternate=False)]
+    if is_empty and drafts[0].find_least_fraction() < 1.0:
+        # A model that took all its groups first may have left remainders of
+        # domains in which no group of another fits.
+        drafts.append(_draft(models, domains, does_alternate=True))
+    return max(drafts, key=_Allocator.find_least_fraction).wanted
+
+
+def _draft(
+    models: abc.Sequence[routing_table.Model],
+    domains: abc.Mapping[str, DomainCapacity],
+    does_alternate: bool,
+) -> "_Allocator":
     # Models below their target first get the groups that need no load.  Then
     # come models below half of their target, then groups of the staged VMs
     # that are left, and last the models that are still below their target.
-    draft = _Allocator(models, domains)
+    draft = _Allocator(
+        models, {name: d.copy() for name, d in domains.items()}, does_alternate
+    )
     draft.form_lacking(_can_form_at_once, lambda count, target: count < target)
     draft.form_lacking(_can_form, lambda count, target: 2 * count < target)
     draft.use_staged()
     draft.form_lacking(_can_form, lambda count, target: count < target)
-    return draft.wanted
+    return draft
 
 
 def _can_form_at_once(
@@ -165,10 +187,12 @@
         self,
         models: abc.Sequence[routing_table.Model],
         domains: abc.Mapping[str, DomainCapacity],
+        does_alternate: bool,
     ) -> None:
         self.wanted: dict[str, list[str]] = {name: [] for name in domains}
         self._domains = domains
         self._counts = count_groups(domains)
+        self._does_alternate = does_alternate
         self._targets = find_targets(models, count_vms(models, domains))
         self._models = sorted(
             models, key=lambda m: (-relative_need(m), m.name)
@@ -181,8 +205,8 @@
     ) -> None:
         """Form groups of models that are below their targets.
 
-        The models take turns by their need.  One that took all its groups
-        first would leave remainders in which no group of another fits.
+        The model with the greatest need takes all its groups first, or the
+        models alternate by what they have.
 
         Parameters
         ----------
@@ -201,13 +225,27 @@
             }
             if not fitting:
                 return
-            model = min(
-                (m for m in self._models if m.name in fitting),
-                key=lambda m: _rate_supply(m, self._counts[m.name]),
-            )
+            lacking = [m for m in self._models if m.name in fitting]
+            model = lacking[0]
+            if self._does_alternate:
+                model = min(
+                    lacking,
+                    key=lambda m: _rate_supply(m, self._counts[m.name]),
+                )
             name = _choose_domain(self._domains, fitting[model.name], model)
             self._form_group(name, model)
 
+    def find_least_fraction(self) -> float:
+        """Return the least part of its target that any model reaches."""
+        return min(
+            (
+                self._counts[model.name] / self._targets[model.name]
+                for model in self._models
+                if self._targets[model.name]
+            ),
+            default=1.0,
+        )
+
     def _target(self, model: routing_table.Model) -> int:
         return max(1, self._targets[model.name])
 
