Mark all servers as leaving before the test asks any of them

Traced by reading: which of two equal servers gets the first request is random, so the second could still be unknown to leave when the third request was sent. All servers say they leave first now, and each request then finds one; as strict as before.

--- a/tests/hosted/test_notices.py
+++ b/tests/hosted/test_notices.py
@@ -22,6 +22,7 @@
         async def scenario(fleet):
             for server in fleet.servers:
                 server.is_leaving = True
+            for _ in fleet.servers:
                 assert (await fleet.ask("/orders/1")).status == 200
             assert (await fleet.ask("/orders/1")).status == 503
             fleet.servers[0].restart()
