--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -48,6 +48,7 @@
         if self.is_silent:
             await trio.sleep_forever()
         if request.path == "/api/report":
+            self.reports += 1
             await asgi.send_response(send, self._report())
         elif request.path == "/health":
             self.health_checks += 1
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -55,8 +55,8 @@
         Whether it has stopped answering.
     is_healthy : bool
         Result of its health check.
-    health_checks : int
-        Number of health checks received.
+    health_checks, reports : int
+        Number of health checks and of requests for a report received.
     is_leaving : bool
         Whether it says in all its answers that it leaves.
     pause_s : float
@@ -110,6 +110,7 @@
     is_silent: bool = False
     is_healthy: bool = True
     health_checks: int = 0
+    reports: int = 0
     is_leaving: bool = False
     pause_s: float = 0.0
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
--- a/src/sycamorespool/standins/hosted_store.py
+++ b/src/sycamorespool/standins/hosted_store.py
@@ -85,6 +85,8 @@
         How long each call takes.
     does_lose_answers : bool
         Whether appends take effect but are not answered.
+    refused : int
+        Calls refused while it was down.
     timeline : int
         Number that all answers name and that each restore increases.
     group_states : list
@@ -102,6 +104,7 @@
     is_down: bool = False
     slow_s: float = 0.0
     does_lose_answers: bool = False
+    refused: int = 0
     timeline: int = 1
     group_states: list[GroupState] = dataclasses.field(default_factory=list)
 
@@ -145,6 +148,7 @@
 
     async def _answer(self, request: asgi.Request) -> asgi.Response:
         if self.is_down:
+            self.refused += 1
             return asgi.Response(503)
         await trio.sleep(self.slow_s)
         name = request.path.rpartition("/")[2].removeprefix("log-")
--- a/tests/hosted/test_notices.py
+++ b/tests/hosted/test_notices.py
@@ -5,6 +5,9 @@
 from tests.hosted import fleet as fleets
 
 
+ROUNDS = 8
+
+
 class TestLeaving:
     def test_server_that_says_it_leaves_gets_nothing_more(self, run_hosted):
         async def scenario(fleet):
@@ -43,7 +46,13 @@
             member = fleet.find_member(head)
             member.is_leaving = True
             await fleet.wait_for(fleet.count_open_is(1))
-            await trio.sleep(2.0)
+            # The owner plans again after each of its rounds of reports.
+            asked = member.reports
+
+            async def was_planned_often():
+                return member.reports >= asked + ROUNDS
+
+            await fleet.wait_for(was_planned_often)
             grouped = [engine for engine in fleet.engines if engine.group]
             assert member not in grouped or member.group["state"] != "joining"
             assert len(fleet.open_heads()) == 1
--- a/tests/hosted/test_restore.py
+++ b/tests/hosted/test_restore.py
@@ -9,13 +9,27 @@
 from sycamorespool import entry_announcements
 from tests.hosted import fleet as fleets
 
-# Records written after the fleet started to serve are younger than this.
-LOST_S = 3.0
+# Calls refused by a store that is down, so that each reader had one.
+CALLS = 4
+
+
+async def has_read_all(fleet):
+    """Tell whether the entry has read all that is in its topics."""
+    for topic in ("keyed.op", "keyed.servers"):
+        newest = len(fleet.store.topics[topic, 0].records) - 1
+        answer = await fleet.ask_peer(topic, newest)
+        # An entry whose whole read was the last has no older records (410).
+        is_behind = answer.status == 200 and not (
+            fleet.decode_peer_records(answer).records
+        )
+        if is_behind:
+            return False
+    return True
 
 
 async def restore(fleet):
     """Restore the store to its state when the fleet began to serve."""
-    await trio.sleep(LOST_S)
+    await fleet.wait_for(functools.partial(has_read_all, fleet))
     restored_to_s = fleet.serving_s
     fleet.store.restore(trio.current_time() - restored_to_s)
 
@@ -127,7 +141,12 @@
     ):
         async def scenario(fleet):
             fleet.store.is_down = True
-            await trio.sleep(1.0)
+            refused = fleet.store.refused
+
+            async def has_noticed():
+                return fleet.store.refused >= refused + CALLS
+
+            await fleet.wait_for(has_noticed)
             for server in fleet.servers:
                 server.remove_record()
             fleet.store.is_down = False
