--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -166,6 +166,7 @@
         vm=order.backend_id,
         name=order.kind.value,
         group=order.group,
+        model=order.model,
         epoch=unit.fencing_number,
         count=expected,
         age_s=trio.current_time() - probe.report_s,
--- a/src/sycamorespool/logs.py
+++ b/src/sycamorespool/logs.py
@@ -49,6 +49,7 @@
         "file",
         "group",
         "incarnation",
+        "model",
         "name",
         "offset",
         "open",
