--- a/tests/decisions/engine_simulation.py
+++ b/tests/decisions/engine_simulation.py
@@ -5,6 +5,7 @@
 opens before each of its members was ready in it.
 """
 
+from collections import abc
 import dataclasses
 import random
 
@@ -290,11 +291,15 @@
         )
 
     def run_owner(
-        self, fence: int, memory: domain_view.PlannerMemory, wanted: list[str]
+        self,
+        fence: int,
+        memory: domain_view.PlannerMemory,
+        wanted: list[str],
+        lacking: abc.Container[str] = frozenset(),
     ) -> plan_builder.Plan:
         """Make one plan as an owner and send its orders."""
         view = self.view(fence)
-        made = domain_planner.plan(view, memory, lambda free: wanted)
+        made = domain_planner.plan(view, memory, lambda free: wanted, lacking)
         for order in made.orders:
             report = self.vms[order.backend_id].report
             self.send(order, fence, report.orders if report else 0)
--- a/tests/decisions/test_domain_planner.py
+++ b/tests/decisions/test_domain_planner.py
@@ -76,6 +76,19 @@
         }
         assert joined == {"i-4", "i-5", "i-6", "i-7"}
 
+    def test_spares_load_the_weights_of_the_groups_of_the_same_plan(self):
+        simulation = make_simulation(7, "")
+        simulation.probe()
+        made = simulation.run_owner(
+            1, domain_view.PlannerMemory(), ["big"], frozenset({"small"})
+        )
+        staged = [
+            order.model
+            for order in made.orders
+            if order.kind is backends.OrderKind.STAGE
+        ]
+        assert staged == ["big"] * 3
+
     def test_too_few_vms_form_no_group(self):
         simulation, memory = make_simulation(3), domain_view.PlannerMemory()
         run(simulation, memory, 4, wanted=("big",))
--- a/tests/decisions/test_spares.py
+++ b/tests/decisions/test_spares.py
@@ -68,30 +68,46 @@
 class TestReplacement:
     def test_group_with_a_lost_member_is_whole_again_without_a_load(self):
         """Play a domain of one group and one spare that loses a member."""
-        simulation = engine_simulation.EngineSimulation(
-            engine_simulation.random.Random(1)
-        )
+        simulation = make_simulation()
         simulation.add(4, "big")
         simulation.add(1)
-        memory = domain_view.PlannerMemory()
-
-        def run_until(seconds, wanted):
-            end_s = simulation.now_s + seconds
-            while simulation.now_s < end_s:
-                simulation.step(0.25)
-                simulation.probe()
-                simulation.run_owner(1, memory, wanted)
-
-        simulation.probe()
-        simulation.run_owner(1, memory, ["big"])
-        run_until(20.0, [])
-        (first,) = simulation.open_groups()
-        simulation.kill("i-1")
-        # Long enough to notice the loss, for some rounds and to join, but not
-        # for a load.
-        notice_s = (
-            domain_view.HEARTBEATS_BEFORE_LOST * engine_simulation.HEARTBEAT_S
-        )
-        run_until(notice_s + 0.9 + engine_simulation.BIG.warm_s, ["big"])
-        (second,) = simulation.open_groups()
-        assert second != first
+        lose_member(simulation)
+
+    def test_spares_beside_the_first_group_replace_its_lost_member(self):
+        """Play a bare domain of one group and three spares."""
+        simulation = make_simulation()
+        simulation.add(7)
+        lose_member(simulation, lacking=frozenset({"small"}))
+
+
+def make_simulation():
+    return engine_simulation.EngineSimulation(
+        engine_simulation.random.Random(1)
+    )
+
+
+def lose_member(simulation, lacking=frozenset()):
+    """Form a group that then loses a member, and check that another opens."""
+    memory = domain_view.PlannerMemory()
+
+    def run_until(seconds, wanted):
+        end_s = simulation.now_s + seconds
+        while simulation.now_s < end_s:
+            simulation.step(0.25)
+            simulation.probe()
+            simulation.run_owner(1, memory, wanted, lacking)
+
+    simulation.probe()
+    simulation.run_owner(1, memory, ["big"], lacking)
+    run_until(20.0, [])
+    (first,) = simulation.open_groups()
+    members = [vm for vm in simulation.vms.values() if vm.member]
+    simulation.kill(next(vm.vm_id for vm in members if vm.member.rank == 1))
+    # Long enough to notice the loss, for some rounds and to join, but not for
+    # a load.
+    notice_s = (
+        domain_view.HEARTBEATS_BEFORE_LOST * engine_simulation.HEARTBEAT_S
+    )
+    run_until(notice_s + 0.9 + engine_simulation.BIG.warm_s, ["big"])
+    (second,) = simulation.open_groups()
+    assert second != first
