--- a/src/sycamorespool/decisions/plan_builder.py
+++ b/src/sycamorespool/decisions/plan_builder.py
@@ -152,12 +152,20 @@
                 self._stage(vm_id, model)
 
     def _count_grouped(self) -> collections.Counter[str]:
-        """Return the number of VMs in groups of each model."""
-        return collections.Counter(
-            domain_view.model_of_group(vm.membership.group)
+        """Return the number of VMs by the model of their group.
+
+        VMs that were only just ordered to join a group count too.
+        """
+        models = {
+            vm_id: domain_view.model_of_group(vm.membership.group)
             for vm_id, vm in self.view.vms.items()
             if vm_id not in self.free and vm.membership is not None
-        )
+        }
+        for formation in self.memory.formations.values():
+            for vm_id in formation.members:
+                if vm_id in self.view.vms:
+                    models[vm_id] = formation.model
+        return collections.Counter(models.values())
 
     def _stage(self, vm_id: str, model: routing_table.Model) -> None:
         if self.loads >= self.view.load_limit:
