--- a/src/sycamorespool/caller_request.py
+++ b/src/sycamorespool/caller_request.py
@@ -25,6 +25,9 @@
     resume_after : str
         Id of the last event of a stream that the caller has received, or
         empty.
+    prompt_parts : tuple of str
+        Ids of the parts of the prompt in order; requests may share parts,
+        except for the last one, which is the request's own.
     headers : dict
         Headers to pass on, by lower-case name.
     """
@@ -38,5 +41,6 @@
     model: str
     deadline_s: float
     resume_after: str
+    prompt_parts: tuple[str, ...]
     headers: dict[str, str]
     body: bytes
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -251,6 +251,8 @@
         error=error,
         outcome=action.value,
         age_s=now_s - call.arrived_s,
+        count=caller_answer.events.count,
+        parts=",".join(call.request.prompt_parts),
     )
     if is_over or action not in retries.CONTINUING:
         raise _final_error(call, tries, now_s)
--- a/src/sycamorespool/logs.py
+++ b/src/sycamorespool/logs.py
@@ -54,6 +54,7 @@
         "offset",
         "open",
         "outcome",
+        "parts",
         "places",
         "priority",
         "reason",
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -9,6 +9,7 @@
 ATTEMPT = "sycamorespool-attempt-id"
 DEADLINE = "sycamorespool-deadline-ms"
 MODEL = "sycamorespool-model"
+PROMPT_PARTS = "sycamorespool-prompt-prefix"
 EXPECT_SERVER = "sycamorespool-expect-replica"
 WORKSPACE = "sycamorespool-tenant"
 SERVER_ID = "sycamorespool-replica-id"
@@ -23,6 +24,9 @@
 UNAVAILABLE = 503
 READY_PATH = "/api/ready"
 LOWEST_PRIORITY = 9
+# Parts of a prompt that are read; a longer list is cut, and its last part,
+# which is the request's own, is kept.
+MAX_PARTS = 32
 
 # Headers that concern one connection only or are computed for each message.
 _CONNECTION_HEADERS = frozenset(
@@ -62,6 +66,21 @@
         return math.inf
 
 
+def _read_parts(value: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts in one spelling, none if invalid."""
+    try:
+        parts = [
+            f"{int(entry.partition(':')[0], 16):x}"
+            for entry in value.split(",")
+            if entry
+        ]
+    except ValueError:
+        return ()
+    if len(parts) > MAX_PARTS:
+        parts = [*parts[: MAX_PARTS - 1], parts[-1]]
+    return tuple(parts)
+
+
 def decode_request(
     method: str,
     target: str,
@@ -83,6 +102,7 @@
         model=headers.get(MODEL, ""),
         deadline_s=_read_deadline_s(headers.get(DEADLINE, "")),
         resume_after=headers.get(RESUME_AFTER, ""),
+        prompt_parts=_read_parts(headers.get(PROMPT_PARTS, "")),
         headers={
             name: value
             for name, value in headers.items()
--- a/tests/platform/test_hosted_wire.py
+++ b/tests/platform/test_hosted_wire.py
@@ -114,6 +114,28 @@
         assert found.key == ""
         assert found.deadline_s == float("inf")
 
+    @pytest.mark.parametrize(
+        ("value", "parts"),
+        [
+            (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", 3),
+            (b"5C1E07A2:800,0091bd3f06:410,e4402b7d", 3),
+            (b"", 0),
+            (b",", 0),
+            (b"5c1e07a2:800,not hexadecimal:3", 0),
+        ],
+    )
+    def test_parts_of_the_prompt_are_decoded(self, value, parts):
+        found = self.decode((b"sycamorespool-prompt-prefix", value))
+        wanted = ("5c1e07a2", "91bd3f06", "e4402b7d")
+        assert found.prompt_parts == wanted[:parts]
+
+    def test_long_list_of_parts_keeps_its_last_one(self):
+        value = ",".join(f"{n:x}:5" for n in range(1, 90)).encode()
+        found = self.decode((b"sycamorespool-prompt-prefix", value))
+        assert len(found.prompt_parts) == headers.MAX_PARTS
+        assert found.prompt_parts[0] == "1"
+        assert found.prompt_parts[-1] == f"{89:x}"
+
     def test_workspace_header_of_the_caller_is_replaced(self):
         found = self.decode((b"sycamorespool-tenant", b"forged"))
         sent = headers.encode_request(found, "i-1", "w", 3, 0.5, "12")
