--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -28,6 +28,7 @@
 NOT_RUN = "sycamorespool-not-executed"
 LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
+PROMPT_PARTS = "sycamorespool-prompt-prefix"
 # Pause between two looks at the members while the group stalls.
 POLL_PERIOD_S = 0.02
 
@@ -192,6 +193,12 @@
             await asgi.send_response(send, response)
             self.answered.add(echoed[ATTEMPT_ID])
 
+    def _is_fatal(self, request: asgi.Request) -> bool:
+        """Tell whether the prompt has a part on which the process ends."""
+        entries = request.headers.get(PROMPT_PARTS, "").split(",")
+        parts = {entry.partition(":")[0] for entry in entries}
+        return not parts.isdisjoint(self.fatal_parts)
+
     async def _stream(
         self,
         request: asgi.Request,
@@ -201,6 +208,9 @@
     ) -> None:
         first = int(request.headers.get("last-event-id", "0")) + 1
         await send(hosted_messages.make_start("text/event-stream", headers))
+        if self._is_fatal(request):
+            self.crash()
+            self.ended.set()
         for number in range(first, self.event_count + 1):
             await trio.sleep(self.event_s)
             while self.is_stalled():
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -88,6 +88,11 @@
         Groups in which it was ready since the start.
     cold_arrivals_s : deque
         Recent times at which it began requests while cold.
+    fatal_parts : set of str
+        Parts of prompts on which its process ends as soon as it begins to
+        write an answer; may be shared by all engines.
+    ended : trio.Event
+        Set once its process has ended so.
     """
 
     store: hosted_store.HostedStore
@@ -137,6 +142,8 @@
     cold_arrivals_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    fatal_parts: set[str] = dataclasses.field(default_factory=set)
+    ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def write_record(self, state: str = "ready") -> None:
         """Write its record to the registry."""
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -92,6 +92,8 @@
         self.store = hosted_store.HostedStore()
         self.engines = []
         self.servers = []
+        self.fatal_parts = set()
+        self.ends = self.asked = 0
         self.stop = trio.Event()
         self.callers = processes.find_free_address()
         self.readiness = processes.find_free_address()
@@ -119,13 +121,29 @@
     async def add(self, vm_id, service, domain=""):
         address = processes.find_free_address()
         engine = hosted_engine.HostedEngine(
-            self.store, vm_id, service, address, domain
+            self.store,
+            vm_id,
+            service,
+            address,
+            domain,
+            fatal_parts=self.fatal_parts,
         )
-        await self.serve(engine.app, address)
+        await self.nursery.start(self.run_server, engine)
         engine.write_record()
         (self.engines if domain else self.servers).append(engine)
         return engine
 
+    async def run_server(self, engine, task_status):
+        """Serve an engine until its process ends, and then start another."""
+        await asgi_server.serve(
+            engine.app, engine.address, engine.ended, 0.0, task_status
+        )
+        self.ends += 1
+        engine.remove_record()
+        self.engines.remove(engine)
+        vm_id = f"{engine.vm_id}-{self.ends}"
+        await self.add(vm_id, engine.service, engine.domain)
+
     async def start(self):
         await self.serve(
             asgi_server.asgi.make_app(self.store.handle), self.store_address
@@ -176,6 +194,9 @@
             and engine is not head
         )
 
+    async def has_open_heads(self):
+        return bool(self.open_heads())
+
     def open_heads(self):
         return [
             engine
@@ -219,3 +240,11 @@
             number=number,
             **{"sycamorespool-model": "m", **headers},
         )
+
+    async def ask_prompt(self, *parts):
+        """Ask for a stream on a prompt with these parts, its own last."""
+        self.asked += 1
+        listed = ",".join(f"{part}:100" for part in parts)
+        return await self.ask_stream(
+            f"p{self.asked}", **{"sycamorespool-prompt-prefix": listed}
+        )
