--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -32,6 +32,8 @@
 SILENCE_PER_TTFB = 4.0
 MIN_STREAM_SILENCE_S = 1.0
 MIN_ANSWER_SILENCE_S = 0.3
+# A request whose answer has gone on for this long does not end its server.
+NEW_ANSWER_S = 0.5
 
 log = logs.make_logger("requests")
 
@@ -194,6 +196,7 @@
     movable = _make_movable(call, tries, scope, sent_s)
     if call.route.is_repeatable:
         activity.movable.add(movable)
+    watched: _ObservedAnswer | None = None
     try:
         with scope:
             async with streaming_client.open_request(
@@ -214,6 +217,8 @@
                     first_s = watched.first_s - sent_s
                     context.placement_state.note_ttfb(backend, first_s)
     except exceptions.BackendError as error:
+        first_s = watched.first_s if watched else 0.0
+        _note_closed(context, call, backend, error, first_s)
         return error
     finally:
         activity.movable.discard(movable)
@@ -223,6 +228,23 @@
     return None
 
 
+def _note_closed(
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    backend: backends.Backend,
+    error: exceptions.BackendError,
+    first_s: float,
+) -> None:
+    """Record a request whose server may have ended because of it.
+
+    ``first_s`` is when its answer began, 0 if it did not.
+    """
+    is_new = not first_s or trio.current_time() - first_s < NEW_ANSWER_S
+    is_closed = isinstance(error, exceptions.BackendClosed)
+    if is_closed and is_new and call.request.prompt_parts:
+        context.cut_requests.add(backend, call.request.prompt_parts)
+
+
 def note_notice(
     context: entry_context.EntryContext,
     backend: backends.Backend,
--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -204,7 +204,8 @@
         Raises
         ------
         BackendCut
-            If the answer breaks off or is not valid HTTP.
+            If the answer breaks off or is not valid HTTP; as BackendClosed
+            if its connection was closed.
         """
         self._renew_deadline()
         while True:
@@ -250,18 +251,24 @@
 
     async def _next_event(self) -> t.Any:
         http = self._http_connection.http
+        is_closed = False
         try:
             event = http.next_event()
             while event is h11.NEED_DATA:
                 self.is_waiting = True
                 data = await self._http_connection.connection.receive()
                 self.is_waiting = False
+                is_closed = not data
                 http.receive_data(data)
                 event = http.next_event()
-        except (OSError, h11.RemoteProtocolError) as error:
+        except OSError as error:
+            raise exceptions.BackendClosed(repr(error)) from error
+        except h11.RemoteProtocolError as error:
+            if is_closed:
+                raise exceptions.BackendClosed(repr(error)) from error
             raise exceptions.BackendCut(repr(error)) from error
         if isinstance(event, h11.ConnectionClosed):
-            raise exceptions.BackendCut(
+            raise exceptions.BackendClosed(
                 "connection closed before the end of the answer"
             )
         return event
--- /dev/null
+++ b/src/sycamorespool/decisions/fatal_parts.py
@@ -0,0 +1,314 @@
+"""Finds the parts of prompts on which backend servers end, and blocks them.
+
+A request may end every server that begins to answer it, and the next one
+when it is repeated there (a query of death).  The cause is often a part of
+its prompt that other requests share.  Each entry combines what all entries
+saw: the servers that ended, with the requests that were not yet answered
+there, and the parts of requests that were served::
+
+    note_end(state, ServerEnd("i-1", 7, frozenset({("aa", "bad", "c1")})), 9.0)
+    review(state, 9.0)
+    state.find_block_end_s(("aa", "bad", "c2"), 9.1)
+
+Most requests at a server that ends have nothing to do with it.  So the part
+that is common to the most ends explains them first, of several parts with
+the same ends the one that is the most special; the other parts count only
+for the ends that are left.  A part that was served lately is no cause.
+"""
+
+import collections
+from collections import abc
+import dataclasses
+import math
+import typing as t
+
+# Ends in a row after which a part is not sent for a moment, and after which
+# it is blocked unless some entry has served it.
+HOLD_ENDS = 2
+BLOCK_ENDS = 3
+# Time in which other entries can tell that they have served a part.
+CONFIRM_S = 1.5
+BLOCK_S = 600.0
+# How long an end counts.
+WINDOW_S = 120.0
+# A part that was served this shortly before an end did not cause it.
+SERVED_VALID_S = 30.0
+MAX_SERVED = 16384
+MAX_ENDS = 512
+
+# The ids of a prompt's parts in order, the request's own last.
+Prompt: t.TypeAlias = tuple[str, ...]
+
+
+class ServerKey(t.NamedTuple):
+    """Names one process of a server by its id and start, in Unix ms."""
+
+    backend_id: str
+    started_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """Holds a server that ended.
+
+    Parameters
+    ----------
+    prompts : frozenset of tuple
+        Prompts of the requests there that had no answer yet, or whose answer
+        had only just begun.
+    """
+
+    backend_id: str
+    started_ms: int
+    prompts: frozenset[Prompt]
+
+
+@dataclasses.dataclass(slots=True)
+class _SeenEnd:
+    """Holds an end as several entries reported it.
+
+    ``depths`` is the position of each part in its prompts.
+    """
+
+    at_s: float
+    depths: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hold:
+    """Holds since when a part is suspected, and if this is enough to block."""
+
+    since_s: float
+    is_enough: bool
+
+    @property
+    def end_s(self) -> float:
+        """Return when the hold ends, unless the part is blocked by then."""
+        return self.since_s + (2 if self.is_enough else 1) * CONFIRM_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Review:
+    """Holds what this entry should report to the others.
+
+    Parameters
+    ----------
+    blocked : list of str
+        Parts that it blocks, and no report tells of.
+    served : list of str
+        Parts that it has served lately, and that others may suspect.
+    """
+
+    blocked: list[str]
+    served: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class FatalParts:
+    """Holds the ends of servers, and the parts that are held or blocked.
+
+    Parameters
+    ----------
+    ends : dict
+        The recent ends by process.
+    served_s : dict
+        When this entry last served each part; the latest come last.
+    reported_served_s : dict
+        When other entries have served a part, by their reports.
+    holds : dict
+        The parts that are suspected.
+    blocked_until_s : dict
+        Until when a part is blocked.
+    reported_blocks : set
+        The blocked parts that some entry has reported.
+    """
+
+    ends: dict[ServerKey, _SeenEnd] = dataclasses.field(default_factory=dict)
+    served_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    reported_served_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    holds: dict[str, _Hold] = dataclasses.field(default_factory=dict)
+    blocked_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    reported_blocks: set[str] = dataclasses.field(default_factory=set)
+
+    def find_review_due_s(self) -> float:
+        """Return when a part is to be blocked without any further report."""
+        return min(
+            (
+                hold.since_s + CONFIRM_S
+                for hold in self.holds.values()
+                if hold.is_enough
+            ),
+            default=math.inf,
+        )
+
+    def find_block_end_s(self, prompt: Prompt, now_s: float) -> float | None:
+        """Return until when no request with this prompt is to be sent.
+
+        None if it may be sent now.
+        """
+        ends_s = [self._find_part_end_s(part) for part in prompt]
+        end_s = max(ends_s, default=-math.inf)
+        return end_s if end_s > now_s else None
+
+    def _find_part_end_s(self, part: str) -> float:
+        hold = self.holds.get(part)
+        hold_end_s = hold.end_s if hold else -math.inf
+        return max(hold_end_s, self.blocked_until_s.get(part, -math.inf))
+
+    def find_served_s(self, part: str) -> float:
+        """Return when any entry, as far as known, last served a part."""
+        return max(
+            self.served_s.get(part, -math.inf),
+            self.reported_served_s.get(part, -math.inf),
+        )
+
+
+def note_end(state: FatalParts, end: ServerEnd, at_s: float) -> None:
+    """Record that a server ended, as this or another entry saw it."""
+    key = ServerKey(end.backend_id, end.started_ms)
+    seen = state.ends.setdefault(key, _SeenEnd(at_s))
+    for prompt in end.prompts:
+        for depth, part in enumerate(prompt):
+            seen.depths[part] = max(depth, seen.depths.get(part, 0))
+    if len(state.ends) > MAX_ENDS:
+        del state.ends[next(iter(state.ends))]
+
+
+def note_served(state: FatalParts, prompt: Prompt, now_s: float) -> None:
+    """Record that a request with this prompt got its whole answer."""
+    for part in prompt:
+        state.served_s.pop(part, None)
+        state.served_s[part] = now_s
+    while len(state.served_s) > MAX_SERVED:
+        del state.served_s[next(iter(state.served_s))]
+
+
+def note_reported_served(state: FatalParts, part: str, at_s: float) -> None:
+    """Record that another entry has served a part."""
+    known_s = state.reported_served_s.get(part, -math.inf)
+    state.reported_served_s[part] = max(known_s, at_s)
+
+
+def note_block(state: FatalParts, part: str, until_s: float) -> None:
+    """Record the report that an entry has blocked a part."""
+    known_s = state.blocked_until_s.get(part, -math.inf)
+    state.blocked_until_s[part] = max(known_s, until_s)
+    state.reported_blocks.add(part)
+
+
+def lift_block(state: FatalParts, part: str) -> None:
+    """Record that an operator has lifted the block of a part."""
+    state.blocked_until_s.pop(part, None)
+    state.reported_blocks.discard(part)
+    state.holds.pop(part, None)
+    for seen in state.ends.values():
+        seen.depths.pop(part, None)
+
+
+def review(state: FatalParts, now_s: float) -> Review:
+    """Hold, release and block parts by what is known now."""
+    _forget_old(state, now_s)
+    ends = _count_ends(state, state.find_served_s)
+    for part in state.holds.keys() - ends.keys():
+        del state.holds[part]
+    for part, count in ends.items():
+        is_enough = count >= BLOCK_ENDS
+        hold = state.holds.get(part)
+        if hold is None or hold.is_enough != is_enough:
+            state.holds[part] = _Hold(now_s, is_enough)
+        elif is_enough and now_s - hold.since_s >= CONFIRM_S:
+            del state.holds[part]
+            state.blocked_until_s[part] = now_s + BLOCK_S
+    unreported = state.blocked_until_s.keys() - state.reported_blocks
+    return Review(sorted(unreported), _list_disputed(state))
+
+
+def _forget_old(state: FatalParts, now_s: float) -> None:
+    state.ends = {
+        key: seen
+        for key, seen in state.ends.items()
+        if now_s - seen.at_s <= WINDOW_S
+    }
+    state.reported_served_s = {
+        part: at_s
+        for part, at_s in state.reported_served_s.items()
+        if now_s - at_s <= WINDOW_S + SERVED_VALID_S
+    }
+    state.blocked_until_s = {
+        part: until_s
+        for part, until_s in state.blocked_until_s.items()
+        if until_s > now_s
+    }
+    state.reported_blocks &= state.blocked_until_s.keys()
+
+
+def _count_ends(
+    state: FatalParts, find_served_s: abc.Callable[[str], float]
+) -> dict[str, int]:
+    """Return the parts that explain ``HOLD_ENDS`` ends or more, with these.
+
+    Ends at which a blocked part was present are explained already.
+    """
+    unexplained = [
+        found
+        for seen in state.ends.values()
+        if state.blocked_until_s.keys().isdisjoint(seen.depths)
+        and (found := _select_unserved(seen, find_served_s))
+    ]
+    ranks: dict[str, int] = {}
+    by_part: dict[str, list[dict[str, int]]] = collections.defaultdict(list)
+    for end in unexplained:
+        ranks |= end
+        for part in end:
+            by_part[part].append(end)
+    counts = {
+        part: len(ends)
+        for part, ends in by_part.items()
+        if len(ends) >= HOLD_ENDS
+    }
+    found_counts: dict[str, int] = {}
+    while counts:
+        part = max(counts, key=lambda p: (counts[p], ranks[p], p))
+        if counts[part] < HOLD_ENDS:
+            break
+        found_counts[part] = counts[part]
+        for end in by_part[part]:
+            for other in end:
+                if other in counts:
+                    counts[other] -= 1
+            end.clear()
+    return found_counts
+
+
+def _select_unserved(
+    seen: _SeenEnd, find_served_s: abc.Callable[[str], float]
+) -> dict[str, int]:
+    """Return the parts that may have caused an end, with their depths."""
+    return {
+        part: depth
+        for part, depth in seen.depths.items()
+        if find_served_s(part) < seen.at_s - SERVED_VALID_S
+    }
+
+
+def _list_disputed(state: FatalParts) -> list[str]:
+    """Return the parts that others suspect for lack of this entry's word."""
+
+    def find_reported_s(part: str) -> float:
+        return state.reported_served_s.get(part, -math.inf)
+
+    return [
+        part
+        for part in _count_ends(state, find_reported_s)
+        if _has_served(state, part)
+    ]
+
+
+def _has_served(state: FatalParts, part: str) -> bool:
+    served_s = state.served_s.get(part, -math.inf)
+    return any(
+        part in seen.depths and served_s >= seen.at_s - SERVED_VALID_S
+        for seen in state.ends.values()
+    )
--- /dev/null
+++ b/src/sycamorespool/end_reports.py
@@ -0,0 +1,165 @@
+"""Encodes and decodes the entries' reports of backend servers that ended.
+
+The reports are records of a keyed topic of the store:
+
+========================  ==================================================
+``end/ENTRY/NUMBER``      a server that ended, with its unanswered prompts
+``served/ENTRY``          parts of prompts that the entry has served lately
+``block/PART``            a blocked part; without a value, the block is lifted
+========================  ==================================================
+"""
+
+from collections import abc
+import dataclasses
+
+import msgspec
+
+from sycamorespool.decisions import fatal_parts
+from sycamorespool.platform import pages
+
+# An entry's reports of ends that the store keeps; the next one replaces the
+# oldest.
+KEPT_ENDS = 16
+MAX_PROMPTS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clocks:
+    """Holds the present time on two clocks, to convert times of reports.
+
+    Parameters
+    ----------
+    unix_s : float
+        Seconds since 1970, which other entries share.
+    local_s : float
+        Seconds on this process's own clock.
+    """
+
+    unix_s: float
+    local_s: float
+
+    def to_unix_ms(self, at_s: float) -> int:
+        """Convert a time of this process's clock."""
+        return round((self.unix_s + at_s - self.local_s) * 1000)
+
+    def to_local_s(self, at_ms: int) -> float:
+        """Convert a time in Unix milliseconds."""
+        return self.local_s + at_ms / 1000 - self.unix_s
+
+
+class _End(msgspec.Struct):
+    vm: str
+    started_ms: int
+    prompts: list[tuple[str, ...]]
+    at_ms: int
+
+
+class _Served(msgspec.Struct):
+    served_ms: dict[str, int]
+
+
+class _Block(msgspec.Struct):
+    until_ms: int
+
+
+def encode_end(
+    entry: str,
+    number: int,
+    end: fatal_parts.ServerEnd,
+    at_s: float,
+    clocks: Clocks,
+) -> bytes:
+    """Return the record of an entry's n-th report of a server that ended."""
+    report = _End(
+        end.backend_id,
+        end.started_ms,
+        sorted(end.prompts)[:MAX_PROMPTS],
+        clocks.to_unix_ms(at_s),
+    )
+    return _encode(f"end/{entry}/{number % KEPT_ENDS}", report)
+
+
+def encode_served(
+    entry: str, served_s: abc.Mapping[str, float], clocks: Clocks
+) -> bytes:
+    """Return the record of parts that an entry has served, with the times."""
+    served_ms = {p: clocks.to_unix_ms(at_s) for p, at_s in served_s.items()}
+    return _encode(f"served/{entry}", _Served(served_ms))
+
+
+def encode_block(part: str, until_s: float, clocks: Clocks) -> bytes:
+    """Return the record of a blocked part."""
+    return _encode(f"block/{part}", _Block(clocks.to_unix_ms(until_s)))
+
+
+def _encode(key: str, report: msgspec.Struct) -> bytes:
+    return pages.encode_keyed(key, msgspec.json.encode(report))
+
+
+def apply(
+    state: fatal_parts.FatalParts, record: pages.KeyedRecord, clocks: Clocks
+) -> None:
+    """Apply the report of any entry; ignore one of an unknown kind.
+
+    Raises
+    ------
+    msgspec.MsgspecError, UnicodeError
+        If the report is not valid.
+    """
+    kind, _, name = record.key.partition("/")
+    if kind in _APPLIERS:
+        _APPLIERS[kind](state, name, record.value, clocks)
+
+
+def _apply_end(
+    state: fatal_parts.FatalParts,
+    name: str,
+    value: bytes | None,
+    clocks: Clocks,
+) -> None:
+    if value is None:
+        return
+    report = msgspec.json.decode(value, type=_End)
+    at_s = min(clocks.to_local_s(report.at_ms), clocks.local_s)
+    if clocks.local_s - at_s > fatal_parts.WINDOW_S:
+        return
+    end = fatal_parts.ServerEnd(
+        report.vm, report.started_ms, frozenset(report.prompts)
+    )
+    fatal_parts.note_end(state, end, at_s)
+
+
+def _apply_served(
+    state: fatal_parts.FatalParts,
+    name: str,
+    value: bytes | None,
+    clocks: Clocks,
+) -> None:
+    if value is None:
+        return
+    report = msgspec.json.decode(value, type=_Served)
+    for part, at_ms in report.served_ms.items():
+        at_s = min(clocks.to_local_s(at_ms), clocks.local_s)
+        fatal_parts.note_reported_served(state, part, at_s)
+
+
+def _apply_block(
+    state: fatal_parts.FatalParts,
+    part: str,
+    value: bytes | None,
+    clocks: Clocks,
+) -> None:
+    if value is None:
+        fatal_parts.lift_block(state, part)
+        return
+    until_ms = msgspec.json.decode(value, type=_Block).until_ms
+    latest_s = clocks.local_s + fatal_parts.BLOCK_S
+    until_s = min(clocks.to_local_s(until_ms), latest_s)
+    fatal_parts.note_block(state, part, until_s)
+
+
+_APPLIERS: dict[str, abc.Callable[..., None]] = {
+    "end": _apply_end,
+    "served": _apply_served,
+    "block": _apply_block,
+}
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -21,6 +21,7 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool.decisions import cold_limits
+from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
@@ -50,6 +51,37 @@
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
 
+@dataclasses.dataclass(slots=True)
+class CutRequests:
+    """Collects the requests whose connections a server closed too early.
+
+    Parameters
+    ----------
+    prompts : dict
+        Prompts of the requests that had no answer yet, by server.
+    added : trio.Event
+        Set when a request was added.
+    """
+
+    prompts: dict[backends.Backend, set[fatal_parts.Prompt]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    added: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    def add(
+        self, backend: backends.Backend, prompt: fatal_parts.Prompt
+    ) -> None:
+        """Add a request."""
+        self.prompts.setdefault(backend, set()).add(prompt)
+        self.added.set()
+
+    def take(self) -> dict[backends.Backend, set[fatal_parts.Prompt]]:
+        """Return all requests added since the last call."""
+        taken, self.prompts = self.prompts, {}
+        self.added = trio.Event()
+        return taken
+
+
 @dataclasses.dataclass(slots=True)
 class EntryContext:
     """Holds the state that all parts of an entry on a hosted platform share.
@@ -95,6 +127,10 @@
         Retry budget by service.
     backend_connections : ConnectionPool
         Idle connections to backend servers, for callers' requests.
+    prompt_blocks : FatalParts
+        The parts of prompts on which servers end.
+    cut_requests : CutRequests
+        Requests at servers that may have ended.
     owns_domains : bool
         Whether this entry forms the groups of any fabric domain.
     requests_open : int
@@ -133,6 +169,10 @@
     backend_connections: streaming_client.ConnectionPool = dataclasses.field(
         default_factory=streaming_client.ConnectionPool
     )
+    prompt_blocks: fatal_parts.FatalParts = dataclasses.field(
+        default_factory=fatal_parts.FatalParts
+    )
+    cut_requests: CutRequests = dataclasses.field(default_factory=CutRequests)
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -23,6 +23,7 @@
     |   +-- BackendNotReached
     |   +-- BackendRefused
     |   +-- BackendCut
+    |       +-- BackendClosed
     +-- RequestError
     |   +-- NotRun
     |   +-- OutcomeUnknown
@@ -217,6 +218,13 @@
     """
 
 
+class BackendClosed(BackendCut):
+    """Raised when a backend server closed the connection of an answer.
+
+    Its process may have ended.
+    """
+
+
 class RequestError(SycamorespoolError):
     """Raised when a caller's request cannot be completed."""
 
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -12,6 +12,7 @@
 from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
+from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
@@ -109,6 +110,32 @@
     )
 
 
+def _check_prompt(
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    tries: attempts.Tries,
+    now_s: float,
+) -> None:
+    """Check that no server may end on a part of the prompt.
+
+    Raises
+    ------
+    NotRun, OutcomeUnknown
+        If a part is held or blocked.
+    """
+    prompt = call.request.prompt_parts
+    end_s = context.prompt_blocks.find_block_end_s(prompt, now_s)
+    if end_s is None:
+        return
+    if tries.state.may_have_run:
+        raise _final_error(call, tries, now_s)
+    raise exceptions.NotRun(
+        "prompt_blocked",
+        "backend servers ended on a part of this prompt",
+        retry_after_s=end_s - now_s,
+    )
+
+
 def _find_wait_end_s(call: calls.Call) -> float:
     """Return until when a call may wait for a server that accepts it.
 
@@ -169,7 +196,7 @@
     Raises
     ------
     NotRun
-        If no backend server ran it.
+        If no backend server ran it, or a part of its prompt is blocked.
     OutcomeUnknown
         If a server may have run it, or ``caller_answer`` has begun and the
         rest of it cannot be obtained.
@@ -182,6 +209,7 @@
         now_s = trio.current_time()
         if now_s >= call.end_s - MIN_TIME_LEFT_S:
             raise _final_error(call, tries, now_s)
+        _check_prompt(context, call, tries, now_s)
         placement_request = call.make_placement_request(tries.excluded)
         backend = placement.choose(
             context.placement_state,
@@ -210,6 +238,11 @@
 ) -> None:
     is_good = caller_answer.status < 500
     if is_good:
+        fatal_parts.note_served(
+            context.prompt_blocks,
+            call.request.prompt_parts,
+            trio.current_time(),
+        )
         context.breakers.pop(backend.backend_id, None)
     else:
         now_s = trio.current_time()
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -20,6 +20,7 @@
 from sycamorespool import peer_reads
 from sycamorespool.platform import headers
 from sycamorespool import registry_follower
+from sycamorespool import server_ends
 from sycamorespool import stall_detection
 
 # The load balancer probes an entry once a second and removes it after two
@@ -130,6 +131,7 @@
         start(partition_share.hold, context)
         start(domain_owner.run, context)
         start(stall_detection.watch, context)
+        start(server_ends.run, context)
         for app, address in (
             (_make_readiness_app(context), loaded.listen.readiness),
             (metrics_page.make_app(context), loaded.listen.metrics),
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -187,6 +187,18 @@
     "servers_known": Metric(
         "gauge", "servers", (), "Backend servers in this entry's registry."
     ),
+    "server_ends": Metric(
+        "counter",
+        "servers",
+        (),
+        "Backend servers that ended while they held requests of this entry.",
+    ),
+    "parts_blocked": Metric(
+        "gauge",
+        "parts",
+        (),
+        "Parts of prompts that are not sent, as servers ended on them.",
+    ),
     "groups_open": Metric(
         "gauge", "groups", ("service",), "Groups that serve, by the registry."
     ),
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -77,6 +77,7 @@
     address: str,
     topic: str,
     start: pages.Position,
+    max_age_s: float,
 ) -> PeerRecords:
     """Fetch the records of a topic from another entry.
 
@@ -105,7 +106,7 @@
         raise exceptions.PeerRejected(
             f"the peer's records are of timeline {fetched.timeline}"
         )
-    if fetched.age_s > MAX_READ_AGE_S:
+    if fetched.age_s > max_age_s:
         raise exceptions.PeerUnavailable(
             f"the peer's last read of the store is {fetched.age_s:.1f} s old"
         )
@@ -117,6 +118,7 @@
     topic: str,
     start: pages.Position,
     wait_s: float,
+    max_age_s: float = MAX_READ_AGE_S,
 ) -> tuple[pages.Page, float]:
     """Read a topic from a position on, from another entry or the store.
 
@@ -124,6 +126,8 @@
     ----------
     wait_s : float
         How long the store may wait for a record.
+    max_age_s : float
+        How long ago another entry may have read the store.
 
     Returns
     -------
@@ -138,7 +142,7 @@
     with trio.move_on_at(context.directory_due_s):
         await context.directory_read.wait()
     context.platform_store.check_position(start)
-    page = await _read_from_peer(context, topic, start)
+    page = await _read_from_peer(context, topic, start, max_age_s)
     if page is not None:
         return page
     began_s = entry_context.boot_time_s()
@@ -151,7 +155,10 @@
 
 
 async def _read_from_peer(
-    context: entry_context.EntryContext, topic: str, start: pages.Position
+    context: entry_context.EntryContext,
+    topic: str,
+    start: pages.Position,
+    max_age_s: float,
 ) -> tuple[pages.Page, float] | None:
     name = store_readers.choose(
         context.entry_directory, context.name, trio.current_time()
@@ -161,7 +168,9 @@
     began_s = entry_context.boot_time_s()
     address = context.entry_directory.entries[name].address
     try:
-        fetched = await _fetch_from_peer(context, address, topic, start)
+        fetched = await _fetch_from_peer(
+            context, address, topic, start, max_age_s
+        )
     except exceptions.PeerError as error:
         does_answer = isinstance(error, exceptions.PeerRejected)
         now_s = trio.current_time()
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -17,6 +17,7 @@
 REGISTRY_TOPIC = "keyed.servers"
 CLAIM_TOPIC = "keyed.claims"
 ENTRIES_TOPIC = "keyed.entries"
+SERVER_ENDS_TOPIC = "keyed.server-ends"
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -1,5 +1,10 @@
 """Tests of requests on which backend servers end."""
 
+import time
+
+import pytest
+
+TOPIC = "keyed.server-ends"
 FATAL = "bad"
 # Servers that may end before the cause is known, and requests that may reach
 # servers after that.
@@ -23,3 +28,104 @@
                 assert answer.status == 200
 
         run_hosted(scenario)
+
+    def test_connection_that_a_server_closes_is_not_its_end(self, run_hosted):
+        async def scenario(fleet):
+            cut, _ = fleet.open_heads()
+            cut.faults.extend(["cut"] * 5)
+            while cut.faults:
+                answer = await fleet.ask_prompt("aa", "cc", "1")
+                assert answer.status == 200
+            assert (await fleet.ask_prompt("aa", "cc", "1")).status == 200
+
+        run_hosted(scenario)
+
+
+def make_end(number, *prompts):
+    """Return the report of another entry that a server ended."""
+    return {
+        "vm": f"i-{number}",
+        "started_ms": 7,
+        "prompts": prompts,
+        "at_ms": round(time.time() * 1000),
+    }
+
+
+class TestReports:
+    """Tests of what an entry learns from the reports of others."""
+
+    async def wait_until_status(self, fleet, status, *parts):
+        async def has_status():
+            return (await fleet.ask_prompt(*parts)).status == status
+
+        await fleet.wait_for(has_status)
+
+    def test_ends_that_other_entries_saw_count(self, run_hosted):
+        async def scenario(fleet):
+            for number in range(3):
+                end = make_end(number, ["aa", FATAL, f"{number}"])
+                fleet.store.put(TOPIC, f"end/e{number}/1", end)
+            await self.wait_until_status(fleet, 503, "cc", FATAL, "9")
+            assert (await fleet.ask_prompt("aa", "cc", "9")).status == 200
+            assert not fleet.ends
+
+        run_hosted(scenario)
+
+    def test_block_is_reported_and_can_be_lifted(self, run_hosted):
+        async def scenario(fleet):
+            for number in range(3):
+                end = make_end(number, ["aa", FATAL, f"{number}"])
+                fleet.store.put(TOPIC, f"end/e{number}/1", end)
+
+            async def is_reported():
+                contents = fleet.store.topics[TOPIC, 0].records
+                return any(b"block/bad" in content for content in contents)
+
+            await fleet.wait_for(is_reported)
+            fleet.store.put(TOPIC, f"block/{FATAL}", None)
+            await self.wait_until_status(fleet, 200, "aa", FATAL, "9")
+
+        run_hosted(scenario)
+
+    def test_refusal_is_true_and_says_when_to_come_back(self, run_hosted):
+        async def scenario(fleet):
+            until_ms = round((time.time() + 90.0) * 1000)
+            block = {"until_ms": until_ms}
+            fleet.store.put(TOPIC, f"block/{FATAL}", block)
+            await self.wait_until_status(fleet, 503, "aa", FATAL, "9")
+            for engine in fleet.engines:
+                engine.arrivals.clear()
+            answer = await fleet.ask_prompt("aa", FATAL, "8")
+            assert 60.0 < float(answer.headers["retry-after"]) <= 90.0
+            assert not any(engine.arrivals for engine in fleet.engines)
+
+        run_hosted(scenario)
+
+    def test_part_that_this_entry_served_is_reported_as_served(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            assert (await fleet.ask_prompt("aa", "1")).status == 200
+            for number in range(3):
+                end = make_end(number, ["aa", f"x{number}"])
+                fleet.store.put(TOPIC, f"end/e{number}/1", end)
+
+            async def is_reported():
+                contents = fleet.store.topics[TOPIC, 0].records
+                return any(b"served/" in content for content in contents)
+
+            await fleet.wait_for(is_reported)
+            assert (await fleet.ask_prompt("aa", "2")).status == 200
+
+        run_hosted(scenario)
+
+    @pytest.mark.parametrize("value", [[1], {"vm": 7}, "x"])
+    def test_invalid_report_is_skipped(self, run_hosted, value):
+        async def scenario(fleet):
+            for kind in ("end/e1/1", "served/e1", "block/aa", "odd"):
+                fleet.store.put(TOPIC, kind, value)
+            fleet.store.put(TOPIC, f"block/{FATAL}", {"until_ms": 9**15})
+            await self.wait_until_status(fleet, 503, "aa", FATAL, "9")
+            assert (await fleet.ask_prompt("aa", "2")).status == 200
+
+        run_hosted(scenario)
