--- a/src/sycamorespool/event_ids.py
+++ b/src/sycamorespool/event_ids.py
@@ -27,6 +27,7 @@
     count: int = 0
     is_done: bool = False
     _held: bytes = b""
+    _unnumbered_bytes: int = 0
 
     def check_start(self, answer: relay.Source) -> None:
         """Accept any answer, as the event ids show where it continues."""
@@ -37,7 +38,8 @@
         Raises
         ------
         BackendCut
-            If an event is missing, repeated or too long.
+            If an event is missing, repeated or too long, or if too many bytes
+            came without the id of an event.
         """
         held = self._held + chunk if self._held else chunk
         end = held.rfind(relay.EVENT_END)
@@ -45,8 +47,14 @@
         block, self._held = held[:cut], held[cut:]
         if len(self._held) > relay.MAX_EVENT_BYTES:
             raise exceptions.BackendCut("an event is too long")
-        for match in EVENT_ID.finditer(block):
-            self._check_order(int(match.group(1)))
+        ids = EVENT_ID.findall(block)
+        for event_id in ids:
+            self._check_order(int(event_id))
+        self._unnumbered_bytes = (
+            0 if ids else (self._unnumbered_bytes + len(block))
+        )
+        if self._unnumbered_bytes > relay.MAX_EVENT_BYTES:
+            raise exceptions.BackendCut("the events have no ids")
         return block
 
     def _check_order(self, event_id: int) -> None:
