--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -5,6 +5,7 @@
 
 import httpcore
 import msgspec
+import trio
 
 CONNECT_ERRORS = (
     httpcore.ConnectError,
@@ -17,6 +18,10 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
+# A response that is longer, or takes longer than so many of its timeouts in
+# all, is given up, as it may have no end.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+TIMEOUTS_PER_EXCHANGE = 2.0
 
 
 class NotReached(Exception):
@@ -83,26 +88,38 @@
     NotReached
         If no connection could be established.
     ExchangeFailed
-        If the exchange failed, or one of its steps took longer than
-        ``timeout_s``.
+        If the exchange failed, one of its steps took longer than
+        ``timeout_s`` or all of them several times as long, or the response
+        is longer than ``MAX_RESPONSE_BYTES``.
     """
     pairs = {"content-type": "application/json", **(headers or {})}
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
     try:
-        response = await pool.request(
-            method,
-            url,
-            headers=pairs,
-            content=body,
-            extensions={"timeout": timeouts},
-        )
+        with trio.fail_after(TIMEOUTS_PER_EXCHANGE * timeout_s):
+            async with pool.stream(
+                method,
+                url,
+                headers=pairs,
+                content=body,
+                extensions={"timeout": timeouts},
+            ) as response:
+                content = await _read_content(response)
     except CONNECT_ERRORS as error:
         raise NotReached(f"{method} {url}: {error!r}") from error
-    except EXCHANGE_ERRORS as error:
+    except (*EXCHANGE_ERRORS, trio.TooSlowError) as error:
         raise ExchangeFailed(f"{method} {url}: {error!r}") from error
-    return Response(
-        response.status, decode_headers(response.headers), response.content
-    )
+    return Response(response.status, decode_headers(response.headers), content)
+
+
+async def _read_content(response: httpcore.Response) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.aiter_stream():
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            raise ExchangeFailed("the response is too long")
+        parts.append(part)
+    return b"".join(parts)
 
 
 def encode(value: object) -> bytes:
--- a/tests/hosted/test_answers.py
+++ b/tests/hosted/test_answers.py
@@ -163,3 +163,22 @@
             assert (await fleet.ask("/stock/1", "GET")).status == 200
 
         run_raw(scenario, raw_server.send_without_end(b"\r\n"))
+
+    @pytest.mark.parametrize("start", [b"x-long: ", b"\r\n"])
+    def test_report_without_end_is_given_up(self, start):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                script = raw_server.send_without_end(start, b"x" * 64)
+                server = raw_server.RawServer(nursery, [script])
+                await server.start()
+                with trio.fail_after(SOON_S):
+                    with pytest.raises(http_client.ExchangeFailed):
+                        await http_client.exchange(
+                            http_client.make_pool(),
+                            "GET",
+                            f"http://{server.address}/api/report",
+                            timeout_s=0.3,
+                        )
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
