--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -17,6 +17,7 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool import calls
+from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
@@ -63,16 +64,22 @@
         Least silence after which it may be given up, apart from the TTFB.
     silent_since_s : float
         When the last byte for it came, or when it was sent.
+    prompt : tuple of str
+        Ids of the parts of its prompt.
     is_waiting : bool
         Whether it waits for the server.  While it waits for the caller to
         read, part of an event may be on its way, so it cannot be moved.
+    has_begun : bool
+        Whether a byte of its answer has come.
     """
 
     scope: trio.CancelScope
     tries: Tries
     silence_s: float
     silent_since_s: float
+    prompt: fatal_parts.Prompt = ()
     is_waiting: bool = True
+    has_begun: bool = False
 
     def is_overdue(self, mean_ttfb_s: float, now_s: float) -> bool:
         """Tell whether nothing came for longer than a server needs."""
@@ -101,7 +108,8 @@
 ) -> MovableAttempt:
     least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
     silence_s = max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
-    return MovableAttempt(scope, tries, silence_s, now_s)
+    prompt = call.request.prompt_parts
+    return MovableAttempt(scope, tries, silence_s, now_s, prompt)
 
 
 def _make_outgoing(
@@ -154,6 +162,7 @@
         now_s = trio.current_time()
         self.first_s = self.first_s or now_s
         self._movable.silent_since_s = now_s
+        self._movable.has_begun = True
         server_activity.note_bytes(self._activity, now_s)
         return data
 
@@ -224,10 +233,27 @@
         activity.movable.discard(movable)
         server_activity.end(activity)
     if scope.cancelled_caught:
-        return exceptions.BackendCut("the server stalled")
+        return exceptions.BackendCut("the attempt was given up")
     return None
 
 
+def give_up_blocked(
+    context: entry_context.EntryContext, parts: abc.Set[str], now_s: float
+) -> int:
+    """Give up the attempts whose prompt has one of these parts.
+
+    Their servers have not begun to answer and would end as soon as they do.
+    Return their number.
+    """
+    given_up = 0
+    for activity in context.placement_state.activities.values():
+        for attempt in activity.movable:
+            if not attempt.has_begun and not parts.isdisjoint(attempt.prompt):
+                attempt.give_up(now_s)
+                given_up += 1
+    return given_up
+
+
 def _note_closed(
     context: entry_context.EntryContext,
     call: calls.Call,
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -17,6 +17,7 @@
 import msgspec
 import trio
 
+from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool.decisions import fatal_parts
 from sycamorespool import end_reports
@@ -163,8 +164,14 @@
             log.warning(
                 "part of prompts is held, servers ended on it", name=part
             )
-        for part in self._state.blocked_until_s.keys() - blocked_before:
-            log.warning("part of prompts is blocked", name=part)
+        newly_blocked = self._state.blocked_until_s.keys() - blocked_before
+        given_up = attempts.give_up_blocked(
+            self._context, newly_blocked, now_s
+        )
+        for part in newly_blocked:
+            log.warning(
+                "part of prompts is blocked", name=part, count=given_up
+            )
         blocked = len(self._state.blocked_until_s)
         self._context.metrics.set("parts_blocked", blocked)
         self._plan_report(found, now_s)
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -101,6 +101,35 @@
 
         run_hosted(scenario)
 
+    def test_request_that_waits_at_a_server_is_given_up(self, run_hosted):
+        async def scenario(fleet):
+            for engine in fleet.engines:
+                engine.faults.append("mute")
+            statuses = []
+
+            async def ask():
+                answer = await fleet.ask_prompt("aa", FATAL, "1")
+                statuses.append(answer.status)
+
+            fleet.nursery.start_soon(ask)
+
+            async def waits_at_a_server():
+                return any(engine.runs for engine in fleet.engines)
+
+            await fleet.wait_for(waits_at_a_server)
+            block = {"until_ms": round((time.time() + 90.0) * 1000)}
+            fleet.store.put(TOPIC, f"block/{FATAL}", block)
+
+            async def is_answered():
+                return bool(statuses)
+
+            await fleet.wait_for(is_answered)
+            assert statuses == [502]
+            runs = [run for e in fleet.engines for run in e.runs]
+            assert len(runs) == 1
+
+        run_hosted(scenario)
+
     def test_part_that_this_entry_served_is_reported_as_served(
         self, run_hosted
     ):
