--- a/src/sycamorespool/decisions/fatal_parts.py
+++ b/src/sycamorespool/decisions/fatal_parts.py
@@ -38,6 +38,8 @@
 
 # The ids of a prompt's parts in order, the request's own last.
 Prompt: t.TypeAlias = tuple[str, ...]
+# The position of each part in its prompt.
+_Depths: t.TypeAlias = dict[str, int]
 
 
 class ServerKey(t.NamedTuple):
@@ -65,13 +67,10 @@
 
 @dataclasses.dataclass(slots=True)
 class _SeenEnd:
-    """Holds an end as several entries reported it.
-
-    ``depths`` is the position of each part in its prompts.
-    """
+    """Holds an end as several entries reported it."""
 
     at_s: float
-    depths: dict[str, int] = dataclasses.field(default_factory=dict)
+    depths: _Depths = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -247,44 +246,46 @@
 def _count_ends(
     state: FatalParts, find_served_s: abc.Callable[[str], float]
 ) -> dict[str, int]:
-    """Return the parts that explain ``HOLD_ENDS`` ends or more, with these.
+    """Return the parts that explain ``HOLD_ENDS`` ends or more, with these."""
+    ends_by_part: dict[str, list[_Depths]] = collections.defaultdict(list)
+    depths: _Depths = {}
+    for end in _list_unexplained(state, find_served_s):
+        depths |= end
+        for part in end:
+            ends_by_part[part].append(end)
+    counts = {part: len(ends) for part, ends in ends_by_part.items()}
+    found: dict[str, int] = {}
+    while counts:
+        part = max(counts, key=lambda p: (counts[p], depths[p], p))
+        if counts[part] < HOLD_ENDS:
+            break
+        found[part] = counts[part]
+        _remove_ends(ends_by_part[part], counts)
+    return found
 
-    Ends at which a blocked part was present are explained already.
-    """
-    unexplained = [
-        found
+
+def _list_unexplained(
+    state: FatalParts, find_served_s: abc.Callable[[str], float]
+) -> list[_Depths]:
+    """Return the suspected parts of each end that no blocked part explains."""
+    return [
+        _select_unserved(seen, find_served_s)
         for seen in state.ends.values()
         if state.blocked_until_s.keys().isdisjoint(seen.depths)
-        and (found := _select_unserved(seen, find_served_s))
     ]
-    ranks: dict[str, int] = {}
-    by_part: dict[str, list[dict[str, int]]] = collections.defaultdict(list)
-    for end in unexplained:
-        ranks |= end
+
+
+def _remove_ends(ends: list[_Depths], counts: dict[str, int]) -> None:
+    """Let ends that a part explains count for no other part."""
+    for end in ends:
         for part in end:
-            by_part[part].append(end)
-    counts = {
-        part: len(ends)
-        for part, ends in by_part.items()
-        if len(ends) >= HOLD_ENDS
-    }
-    found_counts: dict[str, int] = {}
-    while counts:
-        part = max(counts, key=lambda p: (counts[p], ranks[p], p))
-        if counts[part] < HOLD_ENDS:
-            break
-        found_counts[part] = counts[part]
-        for end in by_part[part]:
-            for other in end:
-                if other in counts:
-                    counts[other] -= 1
-            end.clear()
-    return found_counts
+            counts[part] -= 1
+        end.clear()
 
 
 def _select_unserved(
     seen: _SeenEnd, find_served_s: abc.Callable[[str], float]
-) -> dict[str, int]:
+) -> _Depths:
     """Return the parts that may have caused an end, with their depths."""
     return {
         part: depth
--- a/src/sycamorespool/end_reports.py
+++ b/src/sycamorespool/end_reports.py
@@ -21,6 +21,8 @@
 # oldest.
 KEPT_ENDS = 16
 MAX_PROMPTS = 64
+# Kinds of reports, with which the keys of their records begin.
+_END, _SERVED, _BLOCK = "end", "served", "block"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +78,7 @@
         sorted(end.prompts)[:MAX_PROMPTS],
         clocks.to_unix_ms(at_s),
     )
-    return _encode(f"end/{entry}/{number % KEPT_ENDS}", report)
+    return _encode(f"{_END}/{entry}/{number % KEPT_ENDS}", report)
 
 
 def encode_served(
@@ -84,12 +86,12 @@
 ) -> bytes:
     """Return the record of parts that an entry has served, with the times."""
     served_ms = {p: clocks.to_unix_ms(at_s) for p, at_s in served_s.items()}
-    return _encode(f"served/{entry}", _Served(served_ms))
+    return _encode(f"{_SERVED}/{entry}", _Served(served_ms))
 
 
 def encode_block(part: str, until_s: float, clocks: Clocks) -> bytes:
     """Return the record of a blocked part."""
-    return _encode(f"block/{part}", _Block(clocks.to_unix_ms(until_s)))
+    return _encode(f"{_BLOCK}/{part}", _Block(clocks.to_unix_ms(until_s)))
 
 
 def _encode(key: str, report: msgspec.Struct) -> bytes:
@@ -107,18 +109,15 @@
         If the report is not valid.
     """
     kind, _, name = record.key.partition("/")
-    if kind in _APPLIERS:
+    if kind == _BLOCK and record.value is None:
+        fatal_parts.lift_block(state, name)
+    elif kind in _APPLIERS and record.value is not None:
         _APPLIERS[kind](state, name, record.value, clocks)
 
 
 def _apply_end(
-    state: fatal_parts.FatalParts,
-    name: str,
-    value: bytes | None,
-    clocks: Clocks,
+    state: fatal_parts.FatalParts, name: str, value: bytes, clocks: Clocks
 ) -> None:
-    if value is None:
-        return
     report = msgspec.json.decode(value, type=_End)
     at_s = min(clocks.to_local_s(report.at_ms), clocks.local_s)
     if clocks.local_s - at_s > fatal_parts.WINDOW_S:
@@ -130,13 +129,8 @@
 
 
 def _apply_served(
-    state: fatal_parts.FatalParts,
-    name: str,
-    value: bytes | None,
-    clocks: Clocks,
+    state: fatal_parts.FatalParts, name: str, value: bytes, clocks: Clocks
 ) -> None:
-    if value is None:
-        return
     report = msgspec.json.decode(value, type=_Served)
     for part, at_ms in report.served_ms.items():
         at_s = min(clocks.to_local_s(at_ms), clocks.local_s)
@@ -144,14 +138,8 @@
 
 
 def _apply_block(
-    state: fatal_parts.FatalParts,
-    part: str,
-    value: bytes | None,
-    clocks: Clocks,
+    state: fatal_parts.FatalParts, part: str, value: bytes, clocks: Clocks
 ) -> None:
-    if value is None:
-        fatal_parts.lift_block(state, part)
-        return
     until_ms = msgspec.json.decode(value, type=_Block).until_ms
     latest_s = clocks.local_s + fatal_parts.BLOCK_S
     until_s = min(clocks.to_local_s(until_ms), latest_s)
@@ -159,7 +147,7 @@
 
 
 _APPLIERS: dict[str, abc.Callable[..., None]] = {
-    "end": _apply_end,
-    "served": _apply_served,
-    "block": _apply_block,
+    _END: _apply_end,
+    _SERVED: _apply_served,
+    _BLOCK: _apply_block,
 }
