--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -32,7 +32,7 @@
 
 # How long the store waits for a report.
 WAIT_S = 2.0
-PERIOD_S = 0.5
+PERIOD_S = 1.0
 RETRY_S = 0.8
 # A server that ends closes all its connections within this time.
 GATHER_S = 0.03
