--- a/src/sycamorespool/decisions/fatal_parts.py
+++ b/src/sycamorespool/decisions/fatal_parts.py
@@ -198,12 +198,18 @@
 
 
 def lift_block(state: FatalParts, part: str) -> None:
-    """Record that an operator has lifted the block of a part."""
+    """Record that an operator has lifted the block of a part.
+
+    The ends that it explained then count for no other part either.
+    """
     state.blocked_until_s.pop(part, None)
     state.reported_blocks.discard(part)
     state.holds.pop(part, None)
-    for seen in state.ends.values():
-        seen.depths.pop(part, None)
+    state.ends = {
+        key: seen
+        for key, seen in state.ends.items()
+        if part not in seen.depths
+    }
 
 
 def review(state: FatalParts, now_s: float) -> Review:
--- a/tests/decisions/test_fatal_parts.py
+++ b/tests/decisions/test_fatal_parts.py
@@ -111,12 +111,14 @@
 
     def test_lifted_block_needs_new_ends(self):
         state = fatal_parts.FatalParts()
-        note_ends(state, (FATAL, "1"), (FATAL, "2"), (FATAL, "3"))
+        note_ends(state, *[("aa", FATAL, f"{number}") for number in range(3)])
         fatal_parts.review(state, 1.0)
         assert fatal_parts.review(state, 3.0).blocked == [FATAL]
         fatal_parts.lift_block(state, FATAL)
-        fatal_parts.review(state, 3.1)
-        assert state.find_block_end_s((FATAL,), 3.1) is None
+        # The ends accuse no other part of these prompts either.
+        for now_s in (3.1, 9.0):
+            fatal_parts.review(state, now_s)
+            assert list_held(state, ("aa", FATAL), now_s) == []
 
     def test_state_is_bounded(self):
         state = fatal_parts.FatalParts()
