--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -237,12 +237,13 @@
     caller_answer: relay.Relay,
 ) -> None:
     is_good = caller_answer.status < 500
-    if is_good:
+    if caller_answer.status < 300:
         fatal_parts.note_served(
             context.prompt_blocks,
             call.request.prompt_parts,
             trio.current_time(),
         )
+    if is_good:
         context.breakers.pop(backend.backend_id, None)
     else:
         now_s = trio.current_time()
--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -29,6 +29,8 @@
 LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
 PROMPT_PARTS = "sycamorespool-prompt-prefix"
+# Statuses of requests that ran and failed, by the fault.
+FAULT_STATUSES = {"fail": 500, "reject": 400}
 # Pause between two looks at the members while the group stalls.
 POLL_PERIOD_S = 0.02
 
@@ -180,9 +182,10 @@
             **echoed,
             SIGNATURE: f"{self.vm_id}.{self.born_ms}.{len(self.runs)}",
         }
-        if fault == "fail":
+        if fault in FAULT_STATUSES:
+            status = FAULT_STATUSES[fault]
             await asgi.send_response(
-                send, asgi.Response(500, b"broken", headers=signed)
+                send, asgi.Response(status, b"broken", headers=signed)
             )
         elif self.domain:
             await self._stream(request, send, signed, fault == "cut")
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -46,7 +46,7 @@
         Orders carried out and highest fencing token since the start.
     faults : deque
         Faults of the next requests, one each: ``refuse``, ``cut`` (in the
-        middle), ``fail`` (status 500) or ``mute``.
+        middle), ``fail`` (status 500), ``reject`` (status 400) or ``mute``.
     runs : list
         Headers of the requests that it ran.
     answered : set of str
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -148,6 +148,20 @@
 
         run_hosted(scenario)
 
+    def test_part_of_a_rejected_request_was_not_served(self, run_hosted):
+        async def scenario(fleet):
+            for engine in fleet.engines:
+                engine.faults.append("reject")
+            assert (await fleet.ask_prompt("aa", FATAL, "1")).status == 400
+            for number in range(3):
+                end = make_end(number, ["cc", FATAL, f"x{number}"])
+                fleet.store.put(TOPIC, f"end/e{number}/1", end)
+            for engine in fleet.engines:
+                engine.faults.clear()
+            await self.wait_until_status(fleet, 503, "aa", FATAL, "2")
+
+        run_hosted(scenario)
+
     @pytest.mark.parametrize("value", [[1], {"vm": 7}, "x"])
     def test_invalid_report_is_skipped(self, run_hosted, value):
         async def scenario(fleet):
