--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -47,6 +47,7 @@
             send = hosted_messages.add_header(send, LEAVING, "1")
         body = await asgi.read_body(receive, asgi.MAX_BODY_BYTES)
         request = asgi.make_request(scope, body)
+        await trio.sleep_until(self.paused_until_s)
         self.apply_due_changes()
         if self.is_silent:
             await trio.sleep_forever()
@@ -191,6 +192,7 @@
             await self._stream(request, send, signed, fault == "cut")
         else:
             await trio.sleep(self.event_s)
+            await trio.sleep_until(self.paused_until_s)
             text = self.text.format(attempt=echoed[ATTEMPT_ID], number=0)
             response = asgi.Response(200, text.encode(), "text/plain", signed)
             await asgi.send_response(send, response)
@@ -216,6 +218,7 @@
             self.ended.set()
         for number in range(first, self.event_count + 1):
             await trio.sleep(self.event_s)
+            await trio.sleep_until(self.paused_until_s)
             while self.is_stalled():
                 await trio.sleep(POLL_PERIOD_S)
                 self.apply_due_changes()
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -53,6 +53,8 @@
         Attempts whose whole answer it sent.
     is_silent : bool
         Whether it has stopped answering.
+    paused_until_s : float
+        Until when it sends nothing, after which it goes on.
     is_healthy : bool
         Result of its health check.
     health_checks, reports : int
@@ -113,6 +115,7 @@
     runs: list[dict[str, str]] = dataclasses.field(default_factory=list)
     answered: set[str] = dataclasses.field(default_factory=set)
     is_silent: bool = False
+    paused_until_s: float = -math.inf
     is_healthy: bool = True
     health_checks: int = 0
     reports: int = 0
