Give up waiting requests also for blocks that others report

A request that waited at a server for a part of its prompt that another entry had blocked was not given up: only blocks that the review itself made counted as new, and a reported one is in place before the review. Its server would end as soon as it began to answer. test_request_that_waits_at_a_server_is_given_up passed only because the silent attempt was ended for a retry, which the block then refused; with attempts that go on beside each other it fails without this (504 after 5 s in place of 502).

--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -108,6 +108,7 @@
         self._ends = 0
         self._noted = trio.Event()
         self._report_due_s: float | None = None
+        self._blocked: set[str] = set()
 
     async def collect_ends(self, nursery: trio.Nursery) -> t.NoReturn:
         """Check servers that closed connections, until cancelled."""
@@ -158,13 +159,13 @@
 
     def _review_now(self, now_s: float) -> None:
         held_before = set(self._state.holds)
-        blocked_before = set(self._state.blocked_until_s)
         found = fatal_parts.review(self._state, now_s)
         for part in self._state.holds.keys() - held_before:
             log.warning(
                 "part of prompts is held, servers ended on it", name=part
             )
-        newly_blocked = self._state.blocked_until_s.keys() - blocked_before
+        newly_blocked = self._state.blocked_until_s.keys() - self._blocked
+        self._blocked = set(self._state.blocked_until_s)
         given_up = attempts.give_up_blocked(
             self._context, newly_blocked, now_s
         )
@@ -172,8 +173,7 @@
             log.warning(
                 "part of prompts is blocked", name=part, count=given_up
             )
-        blocked = len(self._state.blocked_until_s)
-        self._context.metrics.set("parts_blocked", blocked)
+        self._context.metrics.set("parts_blocked", len(self._blocked))
         self._plan_report(found, now_s)
 
     def _plan_report(self, found: fatal_parts.Review, now_s: float) -> None:
