Begin the next attempt beside a silent one instead of ending that one

Callers lost answers that lived: a server that sent nothing for a second, or a member of its group that did not answer one probe, had its requests cancelled, and the retry then found no server, or one that refused (LOST). A stream that had begun could only be closed, without an answer or a refusal.

Cause: ending an attempt, choosing the next server and getting its answer were three steps, and only the last can fail. Ruled out for these tests: the deadline, and a closed connection of the server.

Now the next attempt begins beside the silent one, at the same moment as before, once a server is chosen and a retry is granted; the first whose body goes on ends the others, and one that fails is only counted. Without another attempt, one is given up only if a member refuses connections or has answered no probe for 2 s.

--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -2,10 +2,12 @@
 
 The request is sent to the server and its answer relayed to the caller::
 
-    error = await make_attempt(context, call, backend, caller_answer, tries)
+    ended = await make_attempt(context, call, backend, caller_answer, tries)
 
-What follows a failed attempt is decided in
-:mod:`sycamorespool.forwarding`.
+A silent attempt is not ended for the sake of another one.  The other one
+begins beside it (a hedged request), and the first of them whose answer goes
+on takes the lead and ends the others.  What follows a failed attempt is
+decided in :mod:`sycamorespool.forwarding`.
 """
 
 from collections import abc
@@ -41,27 +43,62 @@
 
 @dataclasses.dataclass(slots=True)
 class Tries:
-    """Holds the attempts of one call and the servers not to be tried again."""
+    """Holds the attempts of one call and the servers not to be tried again.
+
+    Parameters
+    ----------
+    running : list of MovableAttempt
+        The attempts that run beside each other.
+    begin_beside : callable
+        Begins another attempt beside a silent one; tells whether it did.
+    ended : list of Ended
+        The last attempt that ended, if it ran beside another one.
+    """
 
     state: retries.CallTries
     budget: retries.RetryBudget
     excluded: frozenset[str] = frozenset()
+    running: list["MovableAttempt"] = dataclasses.field(default_factory=list)
+    begin_beside: abc.Callable[["MovableAttempt", float], bool] = (
+        lambda attempt, now_s: False
+    )
+    ended: list["Ended"] = dataclasses.field(default_factory=list)
+    _has_ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def reserve(self, point: retries.FailurePoint, now_s: float) -> bool:
         """Reserve the attempt that is to follow one that still runs."""
         return retries.reserve(self.state, point, self.budget, now_s)
 
+    def has_other(self, attempt: "MovableAttempt") -> bool:
+        """Tell whether another attempt runs beside this one."""
+        return any(other is not attempt for other in self.running)
+
+    def list_unusable(self) -> frozenset[str]:
+        """Return the servers that a further attempt must not be sent to."""
+        return self.excluded | {a.backend.backend_id for a in self.running}
+
+    def note_last_ended(self, ended: "Ended") -> None:
+        """Record the end of the last attempt, which ran beside another."""
+        self.ended.append(ended)
+        self._has_ended.set()
+
+    async def wait_for_last(self) -> "Ended":
+        """Wait until no attempt runs, and return how the last one ended."""
+        await self._has_ended.wait()
+        self._has_ended = trio.Event()
+        return self.ended.pop()
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class MovableAttempt:
-    """Holds a running attempt that may be given up for one elsewhere.
+    """Holds a running attempt beside which another one may begin.
 
     Parameters
     ----------
     scope : trio.CancelScope
         Scope of the attempt.
     silence_s : float
-        Least silence after which it may be given up, apart from the TTFB.
+        Least silence after which another one may begin, apart from the TTFB.
     silent_since_s : float
         When the last byte for it came, or when it was sent.
     prompt : tuple of str
@@ -71,8 +108,15 @@
         read, part of an event may be on its way, so it cannot be moved.
     has_begun : bool
         Whether a byte of its answer has come.
+    is_replaced : bool
+        Whether another attempt has begun beside it and still runs.
+    is_counted : bool
+        Whether it counts among the attempts of its call already.
+    is_overtaken : bool
+        Whether it was ended as the answer of an attempt beside it went on.
     """
 
+    backend: backends.Backend
     scope: trio.CancelScope
     tries: Tries
     silence_s: float
@@ -80,6 +124,9 @@
     prompt: fatal_parts.Prompt = ()
     is_waiting: bool = True
     has_begun: bool = False
+    is_replaced: bool = False
+    is_counted: bool = False
+    is_overtaken: bool = False
 
     def is_overdue(self, mean_ttfb_s: float, now_s: float) -> bool:
         """Tell whether nothing came for longer than a server needs."""
@@ -87,29 +134,59 @@
         return now_s - self.silent_since_s > limit_s
 
     def try_move(self, now_s: float) -> bool:
-        """Cancel the attempt if another one is granted; tell whether so."""
-        point = retries.FailurePoint.SENT
-        if not self.is_waiting or not self.tries.reserve(point, now_s):
+        """Begin another attempt beside this one; tell whether it began."""
+        if not self.is_waiting or self.is_replaced:
             return False
-        self.scope.cancel()
+        self.is_replaced = self.tries.begin_beside(self, now_s)
+        return self.is_replaced
+
+    def take_lead(self) -> bool:
+        """End the attempts beside this one, as its own answer goes on.
+
+        Return whether this one is still to go on itself.
+        """
+        if self.is_overtaken:
+            return False
+        self.is_replaced = False
+        for other in self.tries.running:
+            if other is not self:
+                other.is_overtaken = True
+                other.scope.cancel()
         return True
 
-    def give_up(self, now_s: float) -> None:
-        """Cancel the attempt, also if no other one is granted.
+    def give_up(self) -> None:
+        """Cancel the attempt, as its server will not answer any more.
 
-        The caller then gets its final answer at once and may come back.
+        Without another attempt beside it, the caller gets its final answer
+        at once and may come back.
         """
-        if not self.try_move(now_s) and self.is_waiting:
+        if self.is_waiting:
             self.scope.cancel()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Holds how an attempt ended.
+
+    Parameters
+    ----------
+    error : BackendError or None
+        Why it failed, None if it was answered.
+    """
+
+    attempt: MovableAttempt
+    error: exceptions.BackendError | None
+
+
 def _make_movable(
-    call: calls.Call, tries: Tries, scope: trio.CancelScope, now_s: float
+    call: calls.Call, backend: backends.Backend, tries: Tries, now_s: float
 ) -> MovableAttempt:
     least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
     silence_s = max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
     prompt = call.request.prompt_parts
-    return MovableAttempt(scope, tries, silence_s, now_s, prompt)
+    return MovableAttempt(
+        backend, trio.CancelScope(), tries, silence_s, now_s, prompt
+    )
 
 
 def _make_outgoing(
@@ -150,12 +227,20 @@
         self._answer = answer
         self._activity = activity
         self._movable = movable
+        self._first: bytes | None = None
         self.first_s = 0.0
         self.status = answer.status
         self.headers = answer.headers
 
+    async def wait_for_first(self) -> None:
+        """Wait for the first bytes of the body and take the lead."""
+        self._first = await self.read()
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, none at the end."""
+        if self._first is not None:
+            first, self._first = self._first, None
+            return first
         self._movable.is_waiting = True
         data = await self._answer.read()
         self._movable.is_waiting = False
@@ -164,6 +249,8 @@
         self._movable.silent_since_s = now_s
         self._movable.has_begun = True
         server_activity.note_bytes(self._activity, now_s)
+        if not self._movable.take_lead():
+            await trio.sleep_forever()
         return data
 
     async def finish(self) -> None:
@@ -175,18 +262,23 @@
     call: calls.Call,
     answer: _ObservedAnswer,
     caller_answer: relay.Relay,
-    tries: Tries,
+    movable: MovableAttempt,
 ) -> None:
-    point = retries.FailurePoint.SENT
-    if answer.status >= 500 and tries.reserve(point, trio.current_time()):
+    tries, point = movable.tries, retries.FailurePoint.SENT
+    if answer.status >= 500 and (
+        tries.has_other(movable) or tries.reserve(point, trio.current_time())
+    ):
         raise exceptions.BackendCut(f"the server answered {answer.status}")
     if call.is_stream and answer.status < 300:
+        caller_answer.check_start(answer)
+        await answer.wait_for_first()
         await caller_answer.copy_events(answer)
     elif caller_answer.is_started:
         raise exceptions.BackendCut(
             f"the stream was not resumed: status {answer.status}"
         )
     else:
+        await answer.wait_for_first()
         await caller_answer.copy_whole(answer, is_json=False)
 
 
@@ -196,18 +288,18 @@
     backend: backends.Backend,
     caller_answer: relay.Relay,
     tries: Tries,
-) -> exceptions.BackendError | None:
-    """Make one attempt; return why it failed, None if it succeeded."""
+) -> Ended:
+    """Make one attempt and return how it ended."""
     activity = context.placement_state.activities[backend.backend_id]
     sent_s = trio.current_time()
     context.note_sent(backend, sent_s)
-    scope = trio.CancelScope()
-    movable = _make_movable(call, tries, scope, sent_s)
+    movable = _make_movable(call, backend, tries, sent_s)
+    tries.running.append(movable)
     if call.route.is_repeatable:
         activity.movable.add(movable)
     watched: _ObservedAnswer | None = None
     try:
-        with scope:
+        with movable.scope:
             async with streaming_client.open_request(
                 context.backend_connections,
                 _make_outgoing(call, backend, caller_answer),
@@ -221,24 +313,25 @@
                 activity.refusals = 0
                 movable.is_waiting = False
                 watched = _ObservedAnswer(answer, activity, movable)
-                await _relay(call, watched, caller_answer, tries)
-                if watched.first_s:
-                    first_s = watched.first_s - sent_s
-                    context.placement_state.note_ttfb(backend, first_s)
+                await _relay(call, watched, caller_answer, movable)
+                first_s = watched.first_s - sent_s
+                context.placement_state.note_ttfb(backend, first_s)
     except exceptions.BackendError as error:
         first_s = watched.first_s if watched else 0.0
         _note_closed(context, call, backend, error, first_s)
-        return error
+        return Ended(movable, error)
     finally:
+        tries.running.remove(movable)
         activity.movable.discard(movable)
         server_activity.end(activity)
-    if scope.cancelled_caught:
-        return exceptions.BackendCut("the attempt was given up")
-    return None
+    if movable.scope.cancelled_caught:
+        given_up = exceptions.BackendCut("the attempt was given up")
+        return Ended(movable, given_up)
+    return Ended(movable, None)
 
 
 def give_up_blocked(
-    context: entry_context.EntryContext, parts: abc.Set[str], now_s: float
+    context: entry_context.EntryContext, parts: abc.Set[str]
 ) -> int:
     """Give up the attempts whose prompt has one of these parts.
 
@@ -249,7 +342,7 @@
     for activity in context.placement_state.activities.values():
         for attempt in activity.movable:
             if not attempt.has_begun and not parts.isdisjoint(attempt.prompt):
-                attempt.give_up(now_s)
+                attempt.give_up()
                 given_up += 1
     return given_up
 
--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -4,7 +4,6 @@
 and answers with the result or with an error in ``problem+json``.
 """
 
-import functools
 import hashlib
 import hmac
 import re
@@ -281,9 +280,10 @@
             # up would leave its outcome unknown.
             await dispatch.run_call(self._env, call, caller_answer)
             return
-        run = functools.partial(
-            dispatch.run_call, self._env, call, caller_answer
-        )
+
+        async def run(nursery: trio.Nursery) -> None:
+            await dispatch.run_call(self._env, call, caller_answer)
+
         await relay.run_while_present(run, receive, caller_answer)
 
     async def _run_keyed(
--- a/src/sycamorespool/decisions/retries.py
+++ b/src/sycamorespool/decisions/retries.py
@@ -170,16 +170,32 @@
     return Action.UNKNOWN if call.may_have_run else Action.NOT_RUN
 
 
-def may_try_again(call: CallTries, point: FailurePoint, now_s: float) -> bool:
-    """Tell whether a further attempt is allowed, apart from the budget."""
-    is_left = call.tries + 1 < MAX_ATTEMPTS and now_s < call.deadline_s
-    runs = call.runs + (point not in NEVER_RUN)
+def may_try_again(
+    call: CallTries,
+    point: FailurePoint,
+    now_s: float,
+    is_counted: bool = False,
+) -> bool:
+    """Tell whether a further attempt is allowed, apart from the budget.
+
+    ``is_counted`` tells that the attempt which failed, or is about to be
+    repeated, was counted by :func:`count_attempt` before.
+    """
+    tries = call.tries + (not is_counted)
+    runs = call.runs + (not is_counted and point not in NEVER_RUN)
+    is_left = tries < MAX_ATTEMPTS and now_s < call.deadline_s
     may_repeat = call.is_idempotent or not call.may_have_run
     may_repeat = may_repeat and runs < call.max_runs
     is_allowed = ACTION_TABLE[call.is_idempotent, point] in CONTINUING
     return is_left and may_repeat and is_allowed
 
 
+def count_attempt(call: CallTries, point: FailurePoint) -> None:
+    """Count an attempt that failed, or beside which another one begins."""
+    call.tries += 1
+    call.runs += point not in NEVER_RUN
+
+
 def reserve(
     call: CallTries, point: FailurePoint, budget: RetryBudget, now_s: float
 ) -> bool:
@@ -194,13 +210,35 @@
     return call.has_reserved
 
 
+def begin_beside(
+    call: CallTries, budget: RetryBudget, now_s: float, is_counted: bool
+) -> bool:
+    """Take the retry that runs beside an attempt, and count that attempt.
+
+    Return whether it is granted.
+    """
+    point = FailurePoint.SENT
+    if not may_try_again(call, point, now_s, is_counted):
+        return False
+    if not call.has_reserved and not _take_retry(budget, now_s):
+        return False
+    call.has_reserved = False
+    if not is_counted:
+        count_attempt(call, point)
+    return True
+
+
 def decide(
-    call: CallTries, point: FailurePoint, budget: RetryBudget, now_s: float
+    call: CallTries,
+    point: FailurePoint,
+    budget: RetryBudget,
+    now_s: float,
+    is_counted: bool = False,
 ) -> Action:
     """Record a failed attempt and return the action that follows."""
-    may_continue = may_try_again(call, point, now_s)
-    call.tries += 1
-    call.runs += point not in NEVER_RUN
+    may_continue = may_try_again(call, point, now_s, is_counted)
+    if not is_counted:
+        count_attempt(call, point)
     is_granted = may_continue and (
         call.has_reserved or _take_retry(budget, now_s)
     )
--- a/src/sycamorespool/decisions/server_activity.py
+++ b/src/sycamorespool/decisions/server_activity.py
@@ -20,6 +20,9 @@
 # its members answer, and its requests move to other servers.
 MIN_STALL_SILENCE_S = 0.9
 STALL_PER_TTFB = 4.0
+# A sound server may send nothing for a second or so.  Only one that does not
+# answer probes for this long, or whose process has ended, counts as lost.
+LOSS_SILENCE_S = 2.0
 # About as long as an owner takes to end a group that lost a member.
 SUSPECT_HOLD_S = 3.0
 
@@ -41,6 +44,9 @@
         The attempts that may be repeated at another server.
     probe_answered_s : float
         When the members of its group last answered a probe.
+    unanswered_since_s : float
+        When the first of the probes was sent that a member has not answered;
+        infinite without any.
     suspect_until_s : float
         Until when the server stays suspect without requests in flight,
         after these were moved to other servers.
@@ -49,6 +55,7 @@
     in_flight: int = 0
     silent_since_s: float = math.inf
     probe_answered_s: float = -math.inf
+    unanswered_since_s: float = math.inf
     suspect_until_s: float = -math.inf
     refusals: int = 0
     movable: set[t.Any] = dataclasses.field(default_factory=set)
@@ -65,6 +72,23 @@
     """Record that bytes arrived from a server."""
     activity.silent_since_s = now_s
     activity.suspect_until_s = -math.inf
+    activity.unanswered_since_s = math.inf
+
+
+def note_probe_answered(activity: BackendActivity, now_s: float) -> None:
+    """Record that all members of a server's group answered a probe."""
+    activity.probe_answered_s = now_s
+    activity.unanswered_since_s = math.inf
+
+
+def note_probe_unanswered(activity: BackendActivity, asked_s: float) -> None:
+    """Record that a member of a server's group did not answer a probe."""
+    activity.unanswered_since_s = min(activity.unanswered_since_s, asked_s)
+
+
+def is_lost(activity: BackendActivity, now_s: float) -> bool:
+    """Tell whether a member has not answered for longer than sound ones."""
+    return now_s - activity.unanswered_since_s >= LOSS_SILENCE_S
 
 
 def note_stall(activity: BackendActivity, now_s: float) -> None:
@@ -106,13 +130,20 @@
     stalled_s = max(MIN_STALL_SILENCE_S, STALL_PER_TTFB * mean_ttfb_s)
     if is_silent(activity, stalled_s, now_s):
         return StallStatus.STALLED
+    if is_probe_due(activity, mean_ttfb_s, now_s):
+        return StallStatus.SUSPECT
+    return StallStatus.NORMAL
+
+
+def is_probe_due(
+    activity: BackendActivity, mean_ttfb_s: float, now_s: float
+) -> bool:
+    """Tell whether a server is silent and has not answered a probe lately."""
     suspect_s = max(
         MIN_SUSPECT_SILENCE_S, SUSPECT_SILENCE_PER_TTFB * mean_ttfb_s
     )
     has_answered_probe = now_s - activity.probe_answered_s < suspect_s
-    if has_answered_probe or not is_silent(activity, suspect_s, now_s):
-        return StallStatus.NORMAL
-    return StallStatus.SUSPECT
+    return not has_answered_probe and is_silent(activity, suspect_s, now_s)
 
 
 def is_suspect(
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -7,28 +7,22 @@
 :mod:`sycamorespool.dispatch`.
 """
 
+import functools
+
 import trio
 
+from sycamorespool import asgi
+from sycamorespool import attempt_results
 from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
-from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
-from sycamorespool.platform import headers
 from sycamorespool import relay
 
-# When a caller whose request no server accepted may try again.
-NO_SERVER_RETRY_AFTER_S = 1.0
-# With less time than this until its deadline, a call makes no attempt.
-MIN_TIME_LEFT_S = 0.02
-# How long no request goes to a server that said it is not the expected one
-# (status 421), or that could not be reached.
-MISDIRECTED_BLOCK_S = 2.0
-UNREACHED_BLOCK_S = 1.0
 # Fraction of ``bounds.retry_ratio`` that an entry spends, as the limit holds
 # for the whole fleet and is counted in windows.
 RETRY_RATIO_FRACTION = 0.5
@@ -55,61 +49,6 @@
     return attempts.Tries(state, budget)
 
 
-def _note_failure(
-    context: entry_context.EntryContext,
-    backend: backends.Backend,
-    error: exceptions.BackendError,
-    now_s: float,
-) -> None:
-    backend_id = backend.backend_id
-    blocked = context.placement_state.blocked_until_s
-    if isinstance(error, exceptions.BackendRefused):
-        attempts.note_notice(context, backend, error.status, error.headers)
-        if error.status == headers.MISDIRECTED:
-            blocked[backend_id] = now_s + MISDIRECTED_BLOCK_S
-        else:
-            context.placement_state.note_refusal(backend_id, now_s)
-        return
-    if isinstance(error, exceptions.BackendNotReached):
-        blocked[backend_id] = now_s + UNREACHED_BLOCK_S
-    retries.note_result(context.breakers[backend_id], False, now_s)
-
-
-def _classify_failure(
-    error: exceptions.BackendError, caller_answer: relay.Relay
-) -> retries.FailurePoint:
-    if isinstance(error, exceptions.BackendNotReached):
-        return retries.FailurePoint.NOT_REACHED
-    if isinstance(error, exceptions.BackendRefused):
-        return retries.FailurePoint.REFUSED
-    return (
-        retries.FailurePoint.PARTIAL
-        if caller_answer.is_started
-        else retries.FailurePoint.SENT
-    )
-
-
-def _final_error(
-    call: calls.Call,
-    tries: attempts.Tries,
-    now_s: float,
-    retry_after_s: float = NO_SERVER_RETRY_AFTER_S,
-) -> exceptions.RequestError:
-    if not tries.state.may_have_run:
-        return exceptions.NotRun(
-            "no_server",
-            "no backend server accepted the request",
-            retry_after_s=retry_after_s,
-        )
-    if now_s >= call.end_s - MIN_TIME_LEFT_S:
-        return exceptions.OutcomeUnknown(
-            "timeout", "no complete answer arrived before the deadline", 504
-        )
-    return exceptions.OutcomeUnknown(
-        "answer_lost", "the backend server's answer was lost"
-    )
-
-
 def _check_prompt(
     context: entry_context.EntryContext,
     call: calls.Call,
@@ -128,7 +67,7 @@
     if end_s is None:
         return
     if tries.state.may_have_run:
-        raise _final_error(call, tries, now_s)
+        raise attempt_results.final_error(call, tries, now_s)
     raise exceptions.NotRun(
         "prompt_blocked",
         "backend servers ended on a part of this prompt",
@@ -180,19 +119,25 @@
         version=call.version,
         count=tries.state.tries,
     )
-    retry_after_s = NO_SERVER_RETRY_AFTER_S
+    retry_after_s = attempt_results.NO_SERVER_RETRY_AFTER_S
     if backoff_end_s is not None:
         retry_after_s = backoff_end_s - now_s
-    raise _final_error(call, tries, now_s, retry_after_s)
+    raise attempt_results.final_error(call, tries, now_s, retry_after_s)
 
 
 async def run_call(
     context: entry_context.EntryContext,
     call: calls.Call,
     caller_answer: relay.Relay,
+    nursery: trio.Nursery | None = None,
 ) -> None:
     """Run a call at a backend server and relay the answer to the caller.
 
+    Parameters
+    ----------
+    nursery : trio.Nursery, optional
+        Runs attempts beside silent ones; without it there are none.
+
     Raises
     ------
     NotRun
@@ -204,91 +149,102 @@
         If the caller did not read its answer.
     """
     tries = _begin_tries(context, call)
+    if nursery is not None:
+        tries.begin_beside = functools.partial(
+            _begin_beside, context, call, caller_answer, tries, nursery
+        )
     wait_until_s = _find_wait_end_s(call)
     while True:
-        now_s = trio.current_time()
-        if now_s >= call.end_s - MIN_TIME_LEFT_S:
-            raise _final_error(call, tries, now_s)
-        _check_prompt(context, call, tries, now_s)
-        placement_request = call.make_placement_request(tries.excluded)
-        backend = placement.choose(
-            context.placement_state,
-            placement_request,
-            now_s,
-            context.random.random(),
-            lambda found: context.may_send_to(found, trio.current_time()),
-        )
+        backend = _find_backend(context, call, tries)
         if backend is None:
             await _wait_for_server(context, call, tries, wait_until_s)
             continue
-        error = await attempts.make_attempt(
+        ended = await attempts.make_attempt(
             context, call, backend, caller_answer, tries
         )
-        if error is None:
-            _note_success(context, call, backend, caller_answer)
+        while ended.error and (tries.running or tries.ended):
+            attempt_results.note_ended_beside(
+                context, call, caller_answer, tries, ended
+            )
+            ended = await tries.wait_for_last()
+        if ended.error is None:
+            attempt_results.note_success(
+                context, call, ended.attempt.backend, caller_answer
+            )
             return
-        _handle_failure(context, call, backend, caller_answer, tries, error)
+        attempt_results.handle_failure(
+            context, call, caller_answer, tries, ended
+        )
 
 
-def _note_success(
+def _find_backend(
     context: entry_context.EntryContext,
     call: calls.Call,
-    backend: backends.Backend,
-    caller_answer: relay.Relay,
-) -> None:
-    is_good = caller_answer.status < 500
-    if caller_answer.status < 300:
-        fatal_parts.note_served(
-            context.prompt_blocks,
-            call.request.prompt_parts,
-            trio.current_time(),
-        )
-    if is_good:
-        context.breakers.pop(backend.backend_id, None)
-    else:
-        now_s = trio.current_time()
-        breaker = context.breakers[backend.backend_id]
-        retries.note_result(breaker, False, now_s)
-    log.info(
-        "answered",
-        request_id=call.request.attempt_id,
-        vm=backend.backend_id,
-        status=caller_answer.status,
-        version=call.version,
-        age_s=trio.current_time() - call.arrived_s,
+    tries: attempts.Tries,
+) -> backends.Backend | None:
+    """Return the server for the next attempt, None if there is none now.
+
+    Raises
+    ------
+    NotRun, OutcomeUnknown
+        If the call may make no further attempt.
+    """
+    now_s = trio.current_time()
+    if now_s >= call.end_s - attempt_results.MIN_TIME_LEFT_S:
+        raise attempt_results.final_error(call, tries, now_s)
+    _check_prompt(context, call, tries, now_s)
+    return placement.choose(
+        context.placement_state,
+        call.make_placement_request(tries.list_unusable()),
+        now_s,
+        context.random.random(),
+        lambda found: context.may_send_to(found, trio.current_time()),
     )
 
 
-def _handle_failure(
+def _begin_beside(
     context: entry_context.EntryContext,
     call: calls.Call,
-    backend: backends.Backend,
     caller_answer: relay.Relay,
     tries: attempts.Tries,
-    error: exceptions.BackendError,
-) -> None:
-    """Record a failed attempt; raise the final error if it was the last."""
-    now_s = trio.current_time()
-    failure_point = _classify_failure(error, caller_answer)
-    _note_failure(context, backend, error, now_s)
-    if failure_point not in retries.NEVER_RUN:
-        # A server that refused or was not reached is only blocked for a
-        # while and may be tried again.
-        tries.excluded |= {backend.backend_id}
-    action = retries.decide(tries.state, failure_point, tries.budget, now_s)
-    is_over = caller_answer.is_started and not call.is_stream
-    log.warning(
-        "attempt at backend server failed",
+    nursery: trio.Nursery,
+    silent: attempts.MovableAttempt,
+    now_s: float,
+) -> bool:
+    """Begin an attempt beside a silent one, if a server and a retry allow."""
+    try:
+        backend = _find_backend(context, call, tries)
+    except exceptions.RequestError:
+        return False
+    if backend is None or not retries.begin_beside(
+        tries.state, tries.budget, now_s, silent.is_counted
+    ):
+        return False
+    silent.is_counted = True
+    log.info(
+        "attempt begins beside a silent one",
         request_id=call.request.attempt_id,
         vm=backend.backend_id,
-        state=failure_point.value,
-        error=error,
-        outcome=action.value,
-        age_s=now_s - call.arrived_s,
+        age_s=now_s - silent.silent_since_s,
         count=caller_answer.events.count,
-        parts=",".join(call.request.prompt_parts),
     )
-    if is_over or action not in retries.CONTINUING:
-        raise _final_error(call, tries, now_s)
-    workspace = call.workspace.name if call.workspace else ""
-    context.metrics.count("attempts_retried", workspace)
+    attempt_results.count_retry(context, call)
+
+    async def run() -> None:
+        try:
+            ended = await attempts.make_attempt(
+                context, call, backend, caller_answer, tries
+            )
+        except asgi.CallerGone:
+            nursery.cancel_scope.cancel()
+            return
+        if ended.error is None or not tries.running:
+            tries.note_last_ended(ended)
+            return
+        attempt_results.note_ended_beside(
+            context, call, caller_answer, tries, ended
+        )
+        silent.is_replaced = False
+
+    nursery.start_soon(run)
+    return True
--- a/src/sycamorespool/platform/engines.py
+++ b/src/sycamorespool/platform/engines.py
@@ -1,6 +1,7 @@
 """Calls the model engines: fetches reports and sends orders."""
 
 import dataclasses
+import enum
 
 import httpcore
 
@@ -9,6 +10,7 @@
 from sycamorespool import http_client
 from sycamorespool.platform import headers
 from sycamorespool.platform import wire
+from sycamorespool import sockets
 
 REPORT_TIMEOUT_S = 0.45
 ORDER_TIMEOUT_S = 0.4
@@ -45,16 +47,30 @@
     )
 
 
-async def is_responding(
+class ProbeStatus(enum.StrEnum):
+    """Names the result of a probe.
+
+    ``REFUSED`` means that no process listens at the address any more.
+    """
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    REFUSED = "refused"
+
+
+async def probe(
     pool: httpcore.AsyncConnectionPool, address: str, timeout_s: float
-) -> bool:
-    """Tell whether a backend server answers in time, with any status."""
+) -> ProbeStatus:
+    """Ask a backend server for an answer with any status."""
     url = f"http://{address}/api/report"
     try:
         await http_client.exchange(pool, "GET", url, timeout_s=timeout_s)
-    except (http_client.NotReached, http_client.ExchangeFailed):
-        return False
-    return True
+    except http_client.NotReached:
+        is_refused = await sockets.is_refused(address, timeout_s)
+        return ProbeStatus.REFUSED if is_refused else ProbeStatus.SILENT
+    except http_client.ExchangeFailed:
+        return ProbeStatus.SILENT
+    return ProbeStatus.ANSWERED
 
 
 async def is_staying(
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -225,7 +225,7 @@
             If the answer breaks off, is not an event stream or begins at
             another token; ``events`` tells how much of it was relayed.
         """
-        self._check_start(answer)
+        self.check_start(answer)
         events = self.events
         events.drop_partial_event()
         while not events.is_done:
@@ -239,7 +239,14 @@
                 )
         await answer.finish()
 
-    def _check_start(self, answer: Source) -> None:
+    def check_start(self, answer: Source) -> None:
+        """Check that an answer is a stream that begins at the next event.
+
+        Raises
+        ------
+        BackendCut
+            If it is not.
+        """
         content_type = answer.headers.get("content-type", "")
         if not content_type.startswith(EVENT_STREAM):
             raise exceptions.BackendCut(
@@ -334,12 +341,14 @@
 
 
 async def run_while_present(
-    run: abc.Callable[[], abc.Awaitable[None]],
+    run: abc.Callable[[trio.Nursery], abc.Awaitable[None]],
     receive: asgi.Receive,
     caller_answer: Relay,
 ) -> None:
     """Run a call, and cancel it as soon as its caller disconnects.
 
+    Tasks that ``run`` starts in the nursery end with the call.
+
     Raises
     ------
     CallerGone
@@ -353,7 +362,7 @@
             _cancel_on_disconnect, receive, nursery.cancel_scope
         )
         try:
-            await run()
+            await run(nursery)
         except exceptions.RequestError as error:
             request_error = error
         except asgi.CallerGone:
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -51,19 +51,6 @@
     return end_reports.Clocks(time.time(), trio.current_time())
 
 
-async def _has_ended(backend: backends.Backend) -> bool:
-    """Tell whether no process listens at a server's address."""
-    with trio.move_on_after(CONNECT_TIMEOUT_S):
-        try:
-            connection = await sockets.connect(backend.address)
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
-        connection.close()
-    return False
-
-
 class _Appender:
     """Appends the reports of this entry to the store, in their order."""
 
@@ -124,7 +111,7 @@
         prompts: frozenset[fatal_parts.Prompt],
     ) -> None:
         now_s = trio.current_time()
-        if not await _has_ended(backend):
+        if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
             return
         end = fatal_parts.ServerEnd(
             backend.backend_id, backend.started_ms, prompts
@@ -166,9 +153,7 @@
             )
         newly_blocked = self._state.blocked_until_s.keys() - self._blocked
         self._blocked = set(self._state.blocked_until_s)
-        given_up = attempts.give_up_blocked(
-            self._context, newly_blocked, now_s
-        )
+        given_up = attempts.give_up_blocked(self._context, newly_blocked)
         for part in newly_blocked:
             log.warning(
                 "part of prompts is blocked", name=part, count=given_up
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -126,6 +126,19 @@
     return connection
 
 
+async def is_refused(address: str, timeout_s: float) -> bool:
+    """Tell whether no process listens at an address of a running machine."""
+    with trio.move_on_after(timeout_s):
+        try:
+            connection = await connect(address)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        connection.close()
+    return False
+
+
 class Listener:
     """Listens on an ``IP:port`` for connections.
 
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -14,11 +14,12 @@
 - After the longer one, the server counts as stalled whatever its members
   answer.
 
-The repeatable attempts at a stalled server are cancelled, so that they are
-repeated at another server, and new requests avoid it for some seconds.  A
-single attempt that gets nothing for long is cancelled too, while its server
-serves others.  An attempt for which no retry is granted goes on, unless a
-member of its group is known not to answer::
+Beside the repeatable attempts at a stalled server others begin at other
+servers, and new requests avoid it for some seconds.  The same holds for a
+single attempt that gets nothing for long, while its server serves others.  As
+a sound server may be silent for a second, an attempt goes on until one beside
+it is answered, or a member of its group is known to be lost: its process has
+ended, or it has answered no probe for ``server_activity.LOSS_SILENCE_S``::
 
     nursery.start_soon(stall_detection.watch, context)
 """
@@ -68,14 +69,17 @@
                 verdict = server_activity.detect_stall(
                     activity, mean_ttfb_s, now_s
                 )
+                if verdict is server_activity.StallStatus.STALLED:
+                    _move_requests_away(context, backend_id)
                 if (
-                    verdict is server_activity.StallStatus.SUSPECT
-                    and backend is not None
+                    backend is not None
+                    and server_activity.is_probe_due(
+                        activity, mean_ttfb_s, now_s
+                    )
+                    and not all(a.is_replaced for a in activity.movable)
                 ):
                     probing.add(backend_id)
                     nursery.start_soon(_probe_group, context, backend, probing)
-                elif verdict is not server_activity.StallStatus.NORMAL:
-                    _move_requests_away(context, backend_id)
 
 
 def _restart_silence_clocks(
@@ -105,10 +109,9 @@
 def _move_requests_away(
     context: entry_context.EntryContext, backend_id: str, lost_id: str = ""
 ) -> None:
-    """Cancel the attempts at a server that may go to another one.
+    """Begin others beside the attempts at a server, as far as possible.
 
-    If a member of its group is lost, the others are cancelled too: they will
-    get nothing more.
+    ``lost_id`` is the member of its group that does not answer, if known.
     """
     now_s = trio.current_time()
     activity = context.placement_state.activities[backend_id]
@@ -122,12 +125,24 @@
             open=len(activity.movable),
             state=f"no answer from {lost_id}" if lost_id else "silent",
         )
-    if lost_id:
-        for attempt in activity.movable:
-            attempt.give_up(now_s)
     server_activity.note_stall(activity, now_s)
 
 
+def _give_up_requests(
+    context: entry_context.EntryContext, backend_id: str, lost_id: str
+) -> None:
+    """Cancel the attempts at a server that will get nothing more."""
+    activity = context.placement_state.activities[backend_id]
+    log.warning(
+        "member of a group is lost, its requests are given up",
+        vm=backend_id,
+        name=lost_id,
+        count=len(activity.movable),
+    )
+    for attempt in activity.movable:
+        attempt.give_up()
+
+
 async def _probe_group(
     context: entry_context.EntryContext,
     head: backends.Backend,
@@ -135,32 +150,40 @@
 ) -> None:
     """Ask the members of a silent group for reports; act if one is missing."""
     activity = context.placement_state.activities[head.backend_id]
-    unresponsive: list[str] = []
+    asked_s = trio.current_time()
+    silent: list[str] = []
+    ended: list[str] = []
     try:
         async with trio.open_nursery() as nursery:
             for member in registry.list_members(context.registry, head):
                 nursery.start_soon(
                     functools.partial(
-                        _probe_member, context, member, unresponsive
+                        _probe_member, context, member, silent, ended
                     )
                 )
     finally:
         probing.discard(head.backend_id)
     now_s = trio.current_time()
-    if unresponsive and server_activity.is_silent(
-        activity, PROBE_TIMEOUT_S, now_s
-    ):
-        _move_requests_away(context, head.backend_id, unresponsive[0])
-    else:
-        activity.probe_answered_s = now_s
+    missing = ended + silent
+    if not missing:
+        server_activity.note_probe_answered(activity, now_s)
+    elif server_activity.is_silent(activity, PROBE_TIMEOUT_S, now_s):
+        server_activity.note_probe_unanswered(activity, asked_s)
+        _move_requests_away(context, head.backend_id, missing[0])
+        if ended or server_activity.is_lost(activity, now_s):
+            _give_up_requests(context, head.backend_id, missing[0])
 
 
 async def _probe_member(
     context: entry_context.EntryContext,
     member: backends.Backend,
-    unresponsive: list[str],
+    silent: list[str],
+    ended: list[str],
 ) -> None:
-    if not await engines.is_responding(
+    status = await engines.probe(
         context.engine_pool, member.address, PROBE_TIMEOUT_S
-    ):
-        unresponsive.append(member.backend_id)
+    )
+    if status is engines.ProbeStatus.SILENT:
+        silent.append(member.backend_id)
+    elif status is engines.ProbeStatus.REFUSED:
+        ended.append(member.backend_id)
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -158,3 +158,39 @@
         sent = retries.FailurePoint.SENT
         assert not retries.reserve(call, sent, budget, 1.0)
         assert budget.available == available
+
+
+class TestBeside:
+    """Tests of attempts that run beside silent ones."""
+
+    def test_silent_attempt_is_counted_once(self):
+        call = retries.CallTries(True, 9.0, max_runs=3)
+        budget = retries.RetryBudget(10.0)
+        assert retries.begin_beside(call, budget, 0.0, is_counted=False)
+        retries.count_attempt(call, retries.FailurePoint.REFUSED)
+        assert retries.begin_beside(call, budget, 1.0, is_counted=True)
+        assert (call.tries, call.runs) == (2, 1)
+        assert budget.available == 8.0
+
+    @pytest.mark.parametrize(
+        ("is_idempotent", "max_runs", "saved"),
+        [(False, 3, 10.0), (True, 1, 10.0), (True, 3, 0.0)],
+    )
+    def test_attempt_beside_keeps_to_the_limits_of_retries(
+        self, is_idempotent, max_runs, saved
+    ):
+        call = retries.CallTries(is_idempotent, 9.0, max_runs=max_runs)
+        budget = retries.RetryBudget(saved, reserve=saved)
+        assert not retries.begin_beside(call, budget, 0.0, is_counted=False)
+        assert (call.tries, call.runs) == (0, 0)
+
+    def test_last_failure_of_a_counted_attempt_still_decides(self):
+        call = retries.CallTries(True, 9.0, max_runs=2)
+        budget = retries.RetryBudget(10.0)
+        assert retries.begin_beside(call, budget, 0.0, is_counted=False)
+        point = retries.FailurePoint.REFUSED
+        retries.count_attempt(call, point)
+        sent = retries.FailurePoint.SENT
+        action = retries.decide(call, sent, budget, 1.0, is_counted=True)
+        assert action is retries.Action.RETRY
+        assert call.may_have_run
