Let stand-ins end on the bodies of requests

Servers without prompts end before they answer, as soon as a request with a fatal body has run, and come back after a pause. No test uses it yet.

--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -193,17 +193,27 @@
         else:
             await trio.sleep(self.event_s)
             await trio.sleep_until(self.paused_until_s)
+            if self._is_fatal(request):
+                await self._end()
             text = self.text.format(attempt=echoed[ATTEMPT_ID], number=0)
             response = asgi.Response(200, text.encode(), "text/plain", signed)
             await asgi.send_response(send, response)
             self.answered.add(echoed[ATTEMPT_ID])
 
     def _is_fatal(self, request: asgi.Request) -> bool:
-        """Tell whether the prompt has a part on which the process ends."""
+        """Tell whether the process ends on the body or the prompt."""
+        if request.body in self.fatal_bodies:
+            return True
         entries = request.headers.get(PROMPT_PARTS, "").split(",")
         parts = {entry.partition(":")[0] for entry in entries}
         return not parts.isdisjoint(self.fatal_parts)
 
+    async def _end(self) -> t.NoReturn:
+        """End the process, which closes all its connections."""
+        self.crash()
+        self.ended.set()
+        await trio.sleep_forever()
+
     async def _stream(
         self,
         request: asgi.Request,
@@ -214,8 +224,7 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         await send(hosted_messages.make_start("text/event-stream", headers))
         if self._is_fatal(request):
-            self.crash()
-            self.ended.set()
+            await self._end()
         for number in range(first, self.event_count + 1):
             await trio.sleep(self.event_s)
             await trio.sleep_until(self.paused_until_s)
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -93,6 +93,10 @@
     fatal_parts : set of str
         Parts of prompts on which its process ends as soon as it begins to
         write an answer; may be shared by all engines.
+    fatal_bodies : set of bytes
+        Bodies of requests on which its process ends: an engine's as soon as
+        it begins to write an answer, a plain server's before it does; may be
+        shared by all engines.
     ended : trio.Event
         Set once its process has ended so.
     """
@@ -146,6 +150,7 @@
         default_factory=collections.deque
     )
     fatal_parts: set[str] = dataclasses.field(default_factory=set)
+    fatal_bodies: set[bytes] = dataclasses.field(default_factory=set)
     ended: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def write_record(self, state: str = "ready") -> None:
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -93,6 +93,8 @@
         self.engines = []
         self.servers = []
         self.fatal_parts = set()
+        self.fatal_bodies = set()
+        self.restart_s = 0.0
         self.ends = self.asked = 0
         self.stop = trio.Event()
         self.callers = processes.find_free_address()
@@ -127,6 +129,7 @@
             address,
             domain,
             fatal_parts=self.fatal_parts,
+            fatal_bodies=self.fatal_bodies,
         )
         await self.nursery.start(self.run_server, engine)
         engine.write_record()
@@ -140,7 +143,8 @@
         )
         self.ends += 1
         engine.remove_record()
-        self.engines.remove(engine)
+        (self.engines if engine.domain else self.servers).remove(engine)
+        await trio.sleep(self.restart_s)
         vm_id = f"{engine.vm_id}-{self.ends}"
         await self.add(vm_id, engine.service, engine.domain)
 
@@ -204,8 +208,12 @@
             if engine.group and engine.group["state"] == "open"
         ]
 
-    async def ask(self, path, method="POST", key=KEY, number=1, **headers):
+    async def ask(
+        self, path, method="POST", key=KEY, number=1, body=None, **headers
+    ):
         """Send a caller's request and return the whole answer."""
+        if body is None:
+            body = msgspec.json.encode({"n": number})
         named = {
             "host": HOST,
             "authorization": f"Bearer {key}",
@@ -217,7 +225,7 @@
             self.pool,
             method,
             f"http://{self.callers}{path}",
-            msgspec.json.encode({"n": number}),
+            body,
             10.0,
             named,
         )
