Add failing tests of requests that end server after server

A whole request without a prompt, or with parts that sound ones share, comes again with the same path, caller and body. On the present code:

- [/stock/1] ended 24 servers and [/orders/1] 12, with 6 allowed;
- a stream between sound ones ended 10 heads, with 6 allowed;
- a fatal stream alone blocked the part that sound streams share: 503;
- the tests of the refusal, of other callers and bodies, of the reports and of a restart failed as the request was never refused: 60 servers ended in 30 repeats, 70 with two such requests and 72 with three.

--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -97,6 +97,8 @@
         self.restart_s = 0.0
         self.ends = self.asked = 0
         self.stop = trio.Event()
+        self.entry_scope = None
+        self.entry_ended = trio.Event()
         self.callers = processes.find_free_address()
         self.readiness = processes.find_free_address()
         self.metrics = processes.find_free_address()
@@ -157,7 +159,7 @@
             await self.add(f"i-{number}", "assistant", "d")
         for number in range(2):
             await self.add(f"p-{number}", "ledger")
-        self.nursery.start_soon(hosted.run, str(self.path))
+        self.nursery.start_soon(self.run_entry)
         await self.wait_for(self.is_ready)
         await self.wait_for(self.count_open_is(2))
         await self.wait_for(self.serves_both_groups)
@@ -165,6 +167,19 @@
         for engine in self.engines:
             engine.runs.clear()
 
+    async def run_entry(self):
+        with trio.CancelScope() as self.entry_scope:
+            await hosted.run(str(self.path))
+        self.entry_ended.set()
+
+    async def restart_entry(self):
+        """End the entry at once, and wait until it serves again."""
+        self.entry_scope.cancel()
+        await self.entry_ended.wait()
+        self.entry_ended = trio.Event()
+        self.nursery.start_soon(self.run_entry)
+        await self.wait_for(self.is_ready)
+
     async def serves_both_groups(self):
         await self.ask_stream()
         return all(engine.runs for engine in self.open_heads())
@@ -201,6 +216,9 @@
     async def has_open_heads(self):
         return bool(self.open_heads())
 
+    async def has_servers(self):
+        return bool(self.servers)
+
     def open_heads(self):
         return [
             engine
@@ -249,10 +267,12 @@
             **{"sycamorespool-model": "m", **headers},
         )
 
-    async def ask_prompt(self, *parts):
+    async def ask_prompt(self, *parts, body=None):
         """Ask for a stream on a prompt with these parts, its own last."""
         self.asked += 1
         listed = ",".join(f"{part}:100" for part in parts)
         return await self.ask_stream(
-            f"p{self.asked}", **{"sycamorespool-prompt-prefix": listed}
+            f"p{self.asked}",
+            body=body,
+            **{"sycamorespool-prompt-prefix": listed},
         )
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -1,8 +1,12 @@
 """Tests of requests on which backend servers end."""
 
+import re
 import time
 
 import pytest
+import trio
+
+from tests.hosted import fleet as fleets
 
 TOPIC = "keyed.server-ends"
 FATAL = "bad"
@@ -172,3 +176,164 @@
             assert (await fleet.ask_prompt("aa", "2")).status == 200
 
         run_hosted(scenario)
+
+
+# Body of the request that ends the servers which run it.
+BODY = b'{"text":"only-in-this-body"}'
+REPEATS = 12
+STREAM_REPEATS = 8
+REPEAT_PERIOD_S = 0.4
+# Most repeats of a request before it has to be refused for long.
+REPEATS_UNTIL_BLOCKED = 30
+BLOCKED_S = 60.0
+# Times that the users let one request reach servers: ends, and times later.
+MOST_REACHED = 3 + 3
+
+
+def is_blocked(answer):
+    """Tell whether an answer refuses a request for long."""
+    retry_after_s = float(answer.headers.get("retry-after", "0"))
+    return answer.status == 503 and retry_after_s > BLOCKED_S
+
+
+async def ask_until_blocked(fleet, path="/stock/1", body=BODY):
+    """Repeat a caller's request until it is refused for long."""
+    for number in range(REPEATS_UNTIL_BLOCKED):
+        await fleet.wait_for(fleet.has_servers)
+        attempt = f"{body.hex()}{number}"
+        answer = await fleet.ask(path, number=attempt, body=body)
+        if is_blocked(answer):
+            return answer
+        await trio.sleep(REPEAT_PERIOD_S)
+    raise AssertionError(f"not refused, {fleet.ends} servers ended")
+
+
+class TestFatalRequest:
+    """Tests of whole requests that end each server which runs them."""
+
+    @pytest.mark.parametrize("path", ["/stock/1", "/orders/1"])
+    def test_repeats_of_one_request_do_not_end_server_after_server(
+        self, run_hosted, path
+    ):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            for number in range(REPEATS):
+                await fleet.wait_for(fleet.has_servers)
+                await fleet.ask(path, number=number, body=BODY)
+                await trio.sleep(REPEAT_PERIOD_S)
+            assert 0 < fleet.ends <= MOST_REACHED
+
+        run_hosted(scenario)
+
+    def test_sound_streams_are_served_between_repeats_of_a_fatal_one(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            for _ in range(STREAM_REPEATS):
+                await fleet.wait_for(fleet.has_open_heads)
+                await fleet.ask_prompt("aa", "cc", body=BODY)
+                await fleet.wait_for(fleet.has_open_heads)
+                answer = await fleet.ask_prompt("aa", "cc")
+                assert answer.status == 200
+            assert 0 < fleet.ends <= MOST_REACHED
+
+        run_hosted(scenario)
+
+    def test_fatal_stream_does_not_block_its_prompt_for_sound_ones(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            for _ in range(STREAM_REPEATS):
+                await fleet.wait_for(fleet.has_open_heads)
+                await fleet.ask_prompt("aa", "cc", body=BODY)
+                await trio.sleep(REPEAT_PERIOD_S)
+            assert 0 < fleet.ends <= MOST_REACHED
+            await fleet.wait_for(fleet.has_open_heads)
+            for _ in range(3):
+                assert (await fleet.ask_prompt("aa", "cc")).status == 200
+
+        run_hosted(scenario)
+
+    def test_only_this_request_of_this_caller_is_refused(self, run_hosted):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            await ask_until_blocked(fleet)
+            await fleet.wait_for(fleet.has_servers)
+            fleet.fatal_bodies.clear()
+            for number in range(3):
+                assert (
+                    await fleet.ask("/stock/1", number=number)
+                ).status == 200
+            assert (await fleet.ask("/stock/2", body=BODY)).status == 200
+            answer = await fleet.ask(
+                "/stock/1", key=fleets.OTHER_KEY, body=BODY
+            )
+            assert answer.status == 200
+            assert is_blocked(await fleet.ask("/stock/1", body=BODY))
+
+        run_hosted(scenario)
+
+    @pytest.mark.parametrize("count", [2, 3])
+    def test_fatal_requests_at_once_are_each_refused(self, run_hosted, count):
+        async def scenario(fleet):
+            bodies = [BODY + b" " * number for number in range(count)]
+            fleet.fatal_bodies.update(bodies)
+            async with trio.open_nursery() as nursery:
+                for body in bodies:
+                    nursery.start_soon(
+                        ask_until_blocked, fleet, "/stock/1", body
+                    )
+            assert 0 < fleet.ends <= count * MOST_REACHED
+            await fleet.wait_for(fleet.has_servers)
+            assert (await fleet.ask("/stock/1")).status == 200
+
+        run_hosted(scenario)
+
+    def test_refused_request_reaches_no_server(self, run_hosted):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            await ask_until_blocked(fleet)
+            await fleet.wait_for(fleet.has_servers)
+            for server in fleet.servers:
+                server.arrivals.clear()
+            answer = await fleet.ask("/stock/1", body=BODY)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > BLOCKED_S
+            assert not any(server.arrivals for server in fleet.servers)
+
+        run_hosted(scenario)
+
+    def test_reports_and_log_hold_neither_body_nor_key(
+        self, run_hosted, caplog
+    ):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            with caplog.at_level("INFO", logger="absl"):
+                await ask_until_blocked(fleet)
+            reports = b"".join(fleet.store.topics[TOPIC, 0].records)
+            assert re.search(rb"request:[0-9a-f]{16}\b", reports)
+            logged = caplog.text.encode()
+            for secret in (b"only-in-this-body", fleets.KEY.encode()):
+                assert secret not in reports
+                assert secret not in logged
+
+        run_hosted(scenario)
+
+    def test_entry_that_restarts_knows_the_fatal_request(self, run_hosted):
+        async def scenario(fleet):
+            fleet.fatal_bodies.add(BODY)
+            await ask_until_blocked(fleet)
+            reports = fleet.store.topics[TOPIC, 0].records
+
+            async def is_reported():
+                return any(b"block/request:" in report for report in reports)
+
+            await fleet.wait_for(is_reported)
+            await fleet.restart_entry()
+            ends = fleet.ends
+            assert is_blocked(await fleet.ask("/stock/1", body=BODY))
+            assert fleet.ends == ends
+
+        run_hosted(scenario)
