Do not send a request again under which one server after the other ended

Callers sent one request, repeatedly, that ends each server which runs it; a plain service lost all its servers again and again (BUDGET). Retries and repeats spread it, and entries could not link the ends: only parts of prompts counted as what ends have in common, and a plain request has no prompt.

A request's identity, a digest of its path, query and body that is keyed with the caller's API key, is now its last and most special trait. Ends are told, reported, held and blocked by it as by a part: one rule for both. An end that a blocked identity explains still accuses other identities, as of two requests that were at the same servers the wrong one may have been blocked. Waiting requests that may not be repeated are given up too once they are blocked.

--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -41,7 +41,7 @@
     if caller_answer.status < 300:
         fatal_parts.note_served(
             context.prompt_blocks,
-            call.request.prompt_parts,
+            call.traits,
             trio.current_time(),
         )
     if is_good:
@@ -137,7 +137,7 @@
         outcome=outcome,
         age_s=trio.current_time() - call.arrived_s,
         count=caller_answer.events.count,
-        parts=",".join(call.request.prompt_parts),
+        parts=",".join(call.traits),
     )
 
 
--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -101,8 +101,8 @@
         Least silence after which another one may begin, apart from the TTFB.
     silent_since_s : float
         When the last byte for it came, or when it was sent.
-    prompt : tuple of str
-        Ids of the parts of its prompt.
+    traits : tuple of str
+        The parts of its prompt, and its identity.
     is_waiting : bool
         Whether it waits for the server.  While it waits for the caller to
         read, part of an event may be on its way, so it cannot be moved.
@@ -121,7 +121,7 @@
     tries: Tries
     silence_s: float
     silent_since_s: float
-    prompt: fatal_parts.Prompt = ()
+    traits: fatal_parts.Traits = ()
     is_waiting: bool = True
     has_begun: bool = False
     is_replaced: bool = False
@@ -183,9 +183,8 @@
 ) -> MovableAttempt:
     least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
     silence_s = max(least_s, SILENCE_PER_OBJECTIVE * call.route.objective_s)
-    prompt = call.request.prompt_parts
     return MovableAttempt(
-        backend, trio.CancelScope(), tries, silence_s, now_s, prompt
+        backend, trio.CancelScope(), tries, silence_s, now_s, call.traits
     )
 
 
@@ -295,6 +294,7 @@
     context.note_sent(backend, sent_s)
     movable = _make_movable(call, backend, tries, sent_s)
     tries.running.append(movable)
+    activity.running.add(movable)
     if call.route.is_repeatable:
         activity.movable.add(movable)
     watched: _ObservedAnswer | None = None
@@ -322,6 +322,7 @@
         return Ended(movable, error)
     finally:
         tries.running.remove(movable)
+        activity.running.discard(movable)
         activity.movable.discard(movable)
         server_activity.end(activity)
     if movable.scope.cancelled_caught:
@@ -331,17 +332,17 @@
 
 
 def give_up_blocked(
-    context: entry_context.EntryContext, parts: abc.Set[str]
+    context: entry_context.EntryContext, traits: abc.Set[str]
 ) -> int:
-    """Give up the attempts whose prompt has one of these parts.
+    """Give up the attempts whose request has one of these traits.
 
     Their servers have not begun to answer and would end as soon as they do.
     Return their number.
     """
     given_up = 0
     for activity in context.placement_state.activities.values():
-        for attempt in activity.movable:
-            if not attempt.has_begun and not parts.isdisjoint(attempt.prompt):
+        for attempt in activity.running:
+            if not attempt.has_begun and not traits.isdisjoint(attempt.traits):
                 attempt.give_up()
                 given_up += 1
     return given_up
@@ -360,8 +361,8 @@
     """
     is_new = not first_s or trio.current_time() - first_s < NEW_ANSWER_S
     is_closed = isinstance(error, exceptions.BackendClosed)
-    if is_closed and is_new and call.request.prompt_parts:
-        context.cut_requests.add(backend, call.request.prompt_parts)
+    if is_closed and is_new:
+        context.cut_requests.add(backend, call.traits)
 
 
 def note_notice(
--- a/src/sycamorespool/calls.py
+++ b/src/sycamorespool/calls.py
@@ -3,9 +3,11 @@
 import dataclasses
 
 from sycamorespool import caller_request
+from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import placement
 from sycamorespool import entry_context
 from sycamorespool import exceptions
+from sycamorespool import request_identity
 from sycamorespool import routing_table
 
 NOT_READY_RETRY_AFTER_S = 0.5
@@ -23,6 +25,9 @@
         When the request arrived.
     end_s : float
         Deadline of the final answer.
+    traits : tuple of str
+        What ends of servers under requests may have in common: the parts of
+        the prompt in order, and the request's identity.
     """
 
     request: caller_request.CallerRequest
@@ -32,6 +37,7 @@
     version: int
     arrived_s: float
     end_s: float
+    traits: fatal_parts.Traits = ()
 
     @property
     def is_stream(self) -> bool:
@@ -108,4 +114,5 @@
         table.version,
         now_s,
         now_s + wait_s,
+        (*request.prompt_parts, request_identity.identify(request)),
     )
--- a/src/sycamorespool/decisions/fatal_parts.py
+++ b/src/sycamorespool/decisions/fatal_parts.py
@@ -14,6 +14,10 @@
 that is common to the most ends explains them first, of several parts with
 the same ends the one that is the most special; the other parts count only
 for the ends that are left.  A part that was served lately is no cause.
+
+The cause may also be one request that is repeated.  Its identity (see
+:mod:`sycamorespool.request_identity`) is the most special of its parts, and
+the only one if it has no prompt.
 """
 
 import collections
@@ -36,9 +40,11 @@
 MAX_SERVED = 16384
 MAX_ENDS = 512
 
-# The ids of a prompt's parts in order, the request's own last.
-Prompt: t.TypeAlias = tuple[str, ...]
-# The position of each part in its prompt.
+# What begins the identity of a request, and no id of a part.
+IDENTITY_PREFIX = "request:"
+# The ids of a prompt's parts in order, and then the request's identity.
+Traits: t.TypeAlias = tuple[str, ...]
+# The position of each trait in its request.
 _Depths: t.TypeAlias = dict[str, int]
 
 
@@ -49,6 +55,13 @@
     started_ms: int
 
 
+class Block(t.NamedTuple):
+    """Names the trait for which a request is not sent, and until when."""
+
+    trait: str
+    end_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEnd:
     """Holds a server that ended.
@@ -62,7 +75,7 @@
 
     backend_id: str
     started_ms: int
-    prompts: frozenset[Prompt]
+    prompts: frozenset[Traits]
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,14 +155,22 @@
             default=math.inf,
         )
 
-    def find_block_end_s(self, prompt: Prompt, now_s: float) -> float | None:
-        """Return until when no request with this prompt is to be sent.
+    def find_block(self, traits: Traits, now_s: float) -> Block | None:
+        """Return why no request with these traits is to be sent now.
+
+        None if it may be sent.
+        """
+        blocks = [Block(t, self._find_part_end_s(t)) for t in traits]
+        last = max(blocks, key=lambda block: block.end_s, default=None)
+        return last if last is not None and last.end_s > now_s else None
+
+    def find_block_end_s(self, traits: Traits, now_s: float) -> float | None:
+        """Return until when no request with these traits is to be sent.
 
         None if it may be sent now.
         """
-        ends_s = [self._find_part_end_s(part) for part in prompt]
-        end_s = max(ends_s, default=-math.inf)
-        return end_s if end_s > now_s else None
+        block = self.find_block(traits, now_s)
+        return block.end_s if block else None
 
     def _find_part_end_s(self, part: str) -> float:
         hold = self.holds.get(part)
@@ -164,6 +185,11 @@
         )
 
 
+def is_identity(trait: str) -> bool:
+    """Tell whether a trait is the identity of a request."""
+    return trait.startswith(IDENTITY_PREFIX)
+
+
 def note_end(state: FatalParts, end: ServerEnd, at_s: float) -> None:
     """Record that a server ended, as this or another entry saw it."""
     key = ServerKey(end.backend_id, end.started_ms)
@@ -175,7 +201,7 @@
         del state.ends[next(iter(state.ends))]
 
 
-def note_served(state: FatalParts, prompt: Prompt, now_s: float) -> None:
+def note_served(state: FatalParts, prompt: Traits, now_s: float) -> None:
     """Record that a request with this prompt got its whole answer."""
     for part in prompt:
         state.served_s.pop(part, None)
@@ -216,6 +242,8 @@
     """Hold, release and block parts by what is known now."""
     _forget_old(state, now_s)
     ends = _count_ends(state, state.find_served_s)
+    for part in state.blocked_until_s.keys() & ends.keys():
+        del ends[part]
     for part in state.holds.keys() - ends.keys():
         del state.holds[part]
     for part, count in ends.items():
@@ -262,7 +290,9 @@
     counts = {part: len(ends) for part, ends in ends_by_part.items()}
     found: dict[str, int] = {}
     while counts:
-        part = max(counts, key=lambda p: (counts[p], depths[p], p))
+        part = max(
+            counts, key=lambda p: (counts[p], is_identity(p), depths[p], p)
+        )
         if counts[part] < HOLD_ENDS:
             break
         found[part] = counts[part]
@@ -273,12 +303,21 @@
 def _list_unexplained(
     state: FatalParts, find_served_s: abc.Callable[[str], float]
 ) -> list[_Depths]:
-    """Return the suspected parts of each end that no blocked part explains."""
-    return [
-        _select_unserved(seen, find_served_s)
-        for seen in state.ends.values()
-        if state.blocked_until_s.keys().isdisjoint(seen.depths)
-    ]
+    """Return the suspected traits of each end that no block explains.
+
+    An end that a blocked identity explains still accuses other identities:
+    of two requests that were at the same servers, the wrong one may be
+    blocked, and the next end of the other one has to tell.
+    """
+    unexplained = []
+    for seen in state.ends.values():
+        blocked = state.blocked_until_s.keys() & seen.depths.keys()
+        suspects = _select_unserved(seen, find_served_s)
+        if blocked:
+            suspects = {p: d for p, d in suspects.items() if is_identity(p)}
+        if all(is_identity(part) for part in blocked):
+            unexplained.append(suspects)
+    return unexplained
 
 
 def _remove_ends(ends: list[_Depths], counts: dict[str, int]) -> None:
--- a/src/sycamorespool/decisions/server_activity.py
+++ b/src/sycamorespool/decisions/server_activity.py
@@ -40,8 +40,10 @@
         unanswered requests was sent; infinite without requests.
     refusals : int
         Requests in a row that the server refused.
+    running : set
+        The attempts at the server.
     movable : set
-        The attempts that may be repeated at another server.
+        Those of them that may be repeated at another server.
     probe_answered_s : float
         When the members of its group last answered a probe.
     unanswered_since_s : float
@@ -58,6 +60,7 @@
     unanswered_since_s: float = math.inf
     suspect_until_s: float = -math.inf
     refusals: int = 0
+    running: set[t.Any] = dataclasses.field(default_factory=set)
     movable: set[t.Any] = dataclasses.field(default_factory=set)
 
 
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -58,24 +58,24 @@
     Parameters
     ----------
     prompts : dict
-        Prompts of the requests that had no answer yet, by server.
+        Traits of the requests that had no answer yet, by server.
     added : trio.Event
         Set when a request was added.
     """
 
-    prompts: dict[backends.Backend, set[fatal_parts.Prompt]] = (
+    prompts: dict[backends.Backend, set[fatal_parts.Traits]] = (
         dataclasses.field(default_factory=dict)
     )
     added: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def add(
-        self, backend: backends.Backend, prompt: fatal_parts.Prompt
+        self, backend: backends.Backend, traits: fatal_parts.Traits
     ) -> None:
         """Add a request."""
-        self.prompts.setdefault(backend, set()).add(prompt)
+        self.prompts.setdefault(backend, set()).add(traits)
         self.added.set()
 
-    def take(self) -> dict[backends.Backend, set[fatal_parts.Prompt]]:
+    def take(self) -> dict[backends.Backend, set[fatal_parts.Traits]]:
         """Return all requests added since the last call."""
         taken, self.prompts = self.prompts, {}
         self.added = trio.Event()
@@ -128,7 +128,7 @@
     backend_connections : ConnectionPool
         Idle connections to backend servers, for callers' requests.
     prompt_blocks : FatalParts
-        The parts of prompts on which servers end.
+        The requests and parts of prompts on which servers end.
     cut_requests : CutRequests
         Requests at servers that may have ended.
     owns_domains : bool
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -16,6 +16,7 @@
 from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
+from sycamorespool.decisions import fatal_parts
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
@@ -49,29 +50,33 @@
     return attempts.Tries(state, budget)
 
 
-def _check_prompt(
+def _check_traits(
     context: entry_context.EntryContext,
     call: calls.Call,
     tries: attempts.Tries,
     now_s: float,
 ) -> None:
-    """Check that no server may end on a part of the prompt.
+    """Check that no server may end on a trait of the request.
 
     Raises
     ------
     NotRun, OutcomeUnknown
-        If a part is held or blocked.
+        If the request itself or a part of its prompt is held or blocked.
     """
-    prompt = call.request.prompt_parts
-    end_s = context.prompt_blocks.find_block_end_s(prompt, now_s)
-    if end_s is None:
+    block = context.prompt_blocks.find_block(call.traits, now_s)
+    if block is None:
         return
     if tries.state.may_have_run:
         raise attempt_results.final_error(call, tries, now_s)
+    code, subject = (
+        ("request_blocked", "this request")
+        if fatal_parts.is_identity(block.trait)
+        else ("prompt_blocked", "a part of this prompt")
+    )
     raise exceptions.NotRun(
-        "prompt_blocked",
-        "backend servers ended on a part of this prompt",
-        retry_after_s=end_s - now_s,
+        code,
+        f"backend servers ended on {subject}",
+        retry_after_s=block.end_s - now_s,
     )
 
 
@@ -141,7 +146,8 @@
     Raises
     ------
     NotRun
-        If no backend server ran it, or a part of its prompt is blocked.
+        If no backend server ran it, or the request or a part of its prompt
+        is blocked.
     OutcomeUnknown
         If a server may have run it, or ``caller_answer`` has begun and the
         rest of it cannot be obtained.
@@ -192,7 +198,7 @@
     now_s = trio.current_time()
     if now_s >= call.end_s - attempt_results.MIN_TIME_LEFT_S:
         raise attempt_results.final_error(call, tries, now_s)
-    _check_prompt(context, call, tries, now_s)
+    _check_traits(context, call, tries, now_s)
     return placement.choose(
         context.placement_state,
         call.make_placement_request(tries.list_unusable()),
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -108,7 +108,7 @@
     async def _check(
         self,
         backend: backends.Backend,
-        prompts: frozenset[fatal_parts.Prompt],
+        prompts: frozenset[fatal_parts.Traits],
     ) -> None:
         now_s = trio.current_time()
         if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -27,7 +27,7 @@
     attempt = attempts.MovableAttempt(
         None, scope, tries, 1.0, 0.0, prompt, has_begun=has_begun
     )
-    activity = server_activity.BackendActivity(movable={attempt})
+    activity = server_activity.BackendActivity(running={attempt})
     state = types.SimpleNamespace(activities={"i-1": activity})
     context = types.SimpleNamespace(placement_state=state)
     assert attempts.give_up_blocked(context, {"bad"}) == is_given_up
