Let only the first stop signal of a hosted entry act

Callers whose requests were open when a second SIGTERM or SIGINT came lost their connections without an answer, also beside SIGHUP and a change of the configuration, and the process wrote no line "stopped".

The task that waits for these signals left its signal receiver after the first one, so the drain ran with the default handlers, and the second signal ended the process at once.

Evidence: the new test ran an entry as a process and sent SIGTERM, SIGHUP and a second signal during a request. Before the change it failed with "Server disconnected without sending a response" for SIGTERM and for SIGINT.

The receiver now stays open until the entry has drained; the first signal starts the drain in a task of its own and later ones are only read.

--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -48,14 +48,24 @@
 async def _stop_on_signal(
     context: entry_context.EntryContext, stop: trio.Event
 ) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
+    """Stop the entry at the first signal; those that follow change nothing."""
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                if not context.is_stopping:
+                    context.is_stopping = True
+                    nursery.start_soon(_drain, context, stop)
+
+
+async def _drain(
+    context: entry_context.EntryContext, stop: trio.Event
+) -> None:
     log.info(
         "stopping, open requests are finished",
         open=context.requests_open,
     )
-    context.is_stopping = True
     limit_s = context.settings.bounds.stop_s - EXIT_RESERVE_S
     with trio.move_on_after(limit_s):
         await partition_share.release(context)
--- /dev/null
+++ b/tests/hosted/test_stopping.py
@@ -0,0 +1,101 @@
+"""Tests that signals do not end a caller's request without an answer."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from tests.hosted import fleet as fleets
+
+SLOW_S = 1.2
+SIGNAL_PAUSE_S = 0.2
+
+
+def start_process(path):
+    """Start an entry whose log is written next to its settings."""
+    python_path = {"PYTHONPATH": os.pathsep.join(sys.path)}
+    with path.with_suffix(".log").open("wb") as log_file:
+        return subprocess.Popen(
+            [sys.executable, "-m", "sycamorespool", "hosted", path],
+            stdout=log_file,
+            stderr=log_file,
+            env={**os.environ, **python_path},
+        )
+
+
+class ProcessFleet(fleets.HostedFleet):
+    """The stand-ins of the store and of plain servers, and an entry process.
+
+    The settings are those of :class:`HostedFleet`.
+    """
+
+    async def start(self):
+        app = fleets.asgi_server.asgi.make_app(self.store.handle)
+        await self.serve(app, self.store_address)
+        self.store.put("keyed.op", "config", fleets.CONFIG)
+        await self.add("p-0", "ledger")
+        self.popen = start_process(self.path)
+        await self.wait_for(self.is_ready)
+
+    def close(self):
+        self.popen.kill()
+        self.popen.wait()
+        print(self.path.with_suffix(".log").read_text(errors="replace"))
+
+    async def has_run(self):
+        return bool(self.servers[0].runs)
+
+    async def has_ended(self):
+        return self.popen.poll() is not None
+
+
+@pytest.fixture
+def run_process(tmp_path):
+    """Return a function that runs a scenario with an entry process."""
+
+    def run(scenario):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                fleet = ProcessFleet(nursery, tmp_path)
+                try:
+                    await fleet.start()
+                    await scenario(fleet)
+                finally:
+                    fleet.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
+
+
+async def send_signals(fleet, *numbers):
+    """Send signals during the first run, and change the configuration."""
+    await fleet.wait_for(fleet.has_run)
+    for number in numbers:
+        fleet.popen.send_signal(number)
+        version = fleets.CONFIG["version"] + 1
+        changed = {**fleets.CONFIG, "version": version}
+        fleet.store.put("keyed.op", "config", changed)
+        await trio.sleep(SIGNAL_PAUSE_S)
+
+
+class TestSignals:
+    @pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGINT])
+    def test_second_signal_does_not_end_open_requests(
+        self, run_process, second
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(
+                send_signals, fleet, signal.SIGTERM, signal.SIGHUP, second
+            )
+            answer = await fleet.ask("/orders/1")
+            assert answer.status == 200
+            await fleet.wait_for(fleet.has_ended)
+            assert fleet.popen.returncode == 0
+
+        run_process(scenario)
