Answer a request that fails in the entry instead of closing

A caller whose whole request met an unexpected error in the entry got a closed connection, neither an answer nor a refusal. One request that does so today is a proper one with a byte over 127 in a header: encoding it for a backend server raises UnicodeEncodeError. On repeatable routes the error arrives as an ExceptionGroup from the nursery of relay.run_while_present, on others as itself.

The HTTP server of callers caught such errors only where it serves the whole connection, and closed that.

The server now knows whether a part of the response has left. If none has, it answers any error of the application by 502 internal_error, which promises nothing, and announces the close. If one has, the connection is closed as before, so that the answer does not look complete.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -29,6 +29,7 @@
     501: ("bad_http", "the transfer encoding is not supported"),
 }
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
+INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,11 +59,18 @@
     ``receive`` and ``send`` are those of ASGI.  The head of a response is
     sent together with the first part of its body, and its end together with
     the last part.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether a part of the response was sent, after which no other one
+        can be given.
     """
 
     def __init__(
         self, http: h11.Connection, connection: sockets.Connection
     ) -> None:
+        self.has_begun = False
         self._http = http
         self._connection = connection
         self._head: h11.Response | None = None
@@ -114,8 +122,10 @@
                 status_code=message["status"], headers=message["headers"]
             )
             return
+        encoded = self._encode_body(message)
+        self.has_begun = True
         try:
-            await self._connection.send(self._encode_body(message))
+            await self._connection.send(encoded)
         except OSError as error:
             raise asgi.CallerGone from error
 
@@ -220,12 +230,25 @@
     exchange = _Exchange(http, connection)
     try:
         request = await _read_head(server, http, connection)
-        if request is None:
-            return False
-        await server.app(_make_scope(request), exchange.receive, exchange.send)
     except _HeadRefused as refused:
         response = problems.make_problem(refused.error)
         await asgi.send_response(exchange.send, response)
+        return await _end_exchange(server, http, connection)
+    if request is None:
+        return False
+    try:
+        await server.app(_make_scope(request), exchange.receive, exchange.send)
+    except asgi.CallerGone:
+        raise
+    except Exception as error:
+        await _answer_failure(http, exchange, error)
+    return await _end_exchange(server, http, connection)
+
+
+async def _end_exchange(
+    server: _Server, http: h11.Connection, connection: sockets.Connection
+) -> bool:
+    """End an exchange; return whether another one may follow."""
     if http.our_state is h11.DONE and http.their_state is h11.DONE:
         http.start_next_cycle()
         return not server.is_stopping
@@ -234,6 +257,21 @@
     return False
 
 
+async def _answer_failure(
+    http: h11.Connection, exchange: _Exchange, error: Exception
+) -> None:
+    """Answer a request that failed in the entry, if it has no answer yet."""
+    if not isinstance(error, asgi.AnswerCut):
+        logging.exception("callers: serving a request failed")
+    if exchange.has_begun or http.our_state is not h11.SEND_RESPONSE:
+        return
+    response = problems.make_problem(
+        exceptions.OutcomeUnknown(*INTERNAL_ERROR)
+    )
+    response.headers["connection"] = "close"
+    await asgi.send_response(exchange.send, response)
+
+
 async def _linger(connection: sockets.Connection) -> None:
     # Closing a connection with unread bytes resets it, and the caller could
     # lose the answer, so the rest is read and dropped.
--- /dev/null
+++ b/tests/callers/test_server.py
@@ -0,0 +1,105 @@
+"""Tests of the HTTP server: which requests it answers in which state."""
+
+import pytest
+import trio
+import trio.testing
+
+from sycamorespool import asgi
+from sycamorespool.callers import server
+from sycamorespool import exceptions
+from sycamorespool import settings
+from sycamorespool import sockets
+
+REQUEST = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab"
+
+
+def run(app, scenario):
+    """Run a scenario on a server; it gets the address and the stop event."""
+
+    async def main():
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                server.serve,
+                app,
+                "127.0.0.1:0",
+                settings.LimitsSection(),
+                stop,
+            )
+            await scenario(address, stop)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
+async def read_all(connection):
+    """Return all bytes until the end of the connection."""
+    received = b""
+    while data := await connection.receive():
+        received += data
+    return received
+
+
+def run_ask(app, raw=REQUEST):
+    """Return all that a caller gets who sends some bytes and reads on."""
+    received = []
+
+    async def scenario(address, stop):
+        connection = await sockets.connect(address)
+        await connection.send(raw)
+        received.append(await read_all(connection))
+        connection.close()
+
+    run(app, scenario)
+    return received[0]
+
+
+class TestFailures:
+    @pytest.mark.parametrize(
+        "error",
+        [
+            ValueError("unexpected"),
+            OSError("unexpected"),
+            asgi.AnswerCut(),
+            ExceptionGroup("nursery", [exceptions.CallerStalled("x")]),
+        ],
+    )
+    @pytest.mark.parametrize("is_read", [False, True])
+    @pytest.mark.parametrize("has_head", [False, True])
+    def test_error_before_the_answer_is_not_a_closed_connection(
+        self, error, is_read, has_head
+    ):
+        async def app(scope, receive, send):
+            if is_read:
+                await asgi.read_body(receive, 99)
+            if has_head:
+                start = {"type": "http.response.start", "status": 200}
+                await send({**start, "headers": []})
+            raise error
+
+        answer = run_ask(app)
+        assert answer.startswith(b"HTTP/1.1 502 ")
+        assert b"\r\nconnection: close\r\n" in answer.lower()
+        assert b'"outcome":"outcome unknown"' in answer
+
+    def test_error_in_the_answer_does_not_complete_it(self):
+        async def app(scope, receive, send):
+            start = {"type": "http.response.start", "status": 200}
+            await send({**start, "headers": []})
+            part = {"type": "http.response.body", "body": b"part"}
+            await send({**part, "more_body": True})
+            raise ValueError
+
+        answer = run_ask(app)
+        assert answer.count(b"HTTP/1.1") == 1
+        assert answer.endswith(b"4\r\npart\r\n")
+
+    def test_error_after_the_answer_does_not_spoil_it(self):
+        async def app(scope, receive, send):
+            await asgi.read_body(receive, 99)
+            await asgi.send_response(send, asgi.Response(200, b"whole"))
+            raise ValueError
+
+        answer = run_ask(app)
+        assert answer.count(b"HTTP/1.1") == 1
+        assert answer.endswith(b"\r\n\r\nwhole")
