Answer HEAD requests that the entry itself refuses

A caller of HEAD without a route, with an unknown key or refused for any other reason got a closed connection in place of the refusal.

The refusals have a body, and h11 raises LocalProtocolError for a body after the head of a response to HEAD.

Evidence: test_head_request_gets_an_answer[/nowhere/1] got no byte, and test_response_to_head_has_no_body_and_the_next_one_follows failed with that error.

The HTTP server of callers leaves out the body of responses to HEAD; their headers stay those of GET.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -65,12 +65,15 @@
     has_begun : bool
         Whether a part of the response was sent, after which no other one
         can be given.
+    is_head : bool
+        Whether the method is HEAD, whose response has no body.
     """
 
     def __init__(
         self, http: h11.Connection, connection: sockets.Connection
     ) -> None:
         self.has_begun = False
+        self.is_head = False
         self._http = http
         self._connection = connection
         self._head: h11.Response | None = None
@@ -130,7 +133,7 @@
             raise asgi.CallerGone from error
 
     def _encode_body(self, message: dict[str, t.Any]) -> bytes:
-        body = message.get("body", b"")
+        body = b"" if self.is_head else message.get("body", b"")
         is_last = not message.get("more_body", False)
         if self._is_chunked and body and not is_last:
             # The same bytes as h11 returns for a chunk, without the cost of
@@ -236,6 +239,7 @@
         return await _end_exchange(server, http, connection)
     if request is None:
         return False
+    exchange.is_head = request.method == b"HEAD"
     try:
         await server.app(_make_scope(request), exchange.receive, exchange.send)
     except asgi.CallerGone:
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -103,3 +103,18 @@
         answer = run_ask(app)
         assert answer.count(b"HTTP/1.1") == 1
         assert answer.endswith(b"\r\n\r\nwhole")
+
+
+class TestHead:
+    def test_response_to_head_has_no_body_and_the_next_one_follows(self):
+        async def app(scope, receive, send):
+            await asgi.read_body(receive, 99)
+            await asgi.send_response(send, asgi.Response(404, b"absent"))
+
+        head = b"HEAD /x HTTP/1.1\r\nhost: h\r\n\r\n"
+        last = b"GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+        answer = run_ask(app, head + last)
+        assert answer.count(b"HTTP/1.1 404 ") == 2
+        assert answer.count(b"content-length: 6\r\n") == 2
+        assert answer.endswith(b"\r\n\r\nabsent")
+        assert answer.count(b"absent") == 1
--- a/tests/hosted/test_hosted_callers.py
+++ b/tests/hosted/test_hosted_callers.py
@@ -43,3 +43,11 @@
             assert answer.startswith(b"HTTP/1.1 ")
 
         run_hosted(scenario)
+
+    @pytest.mark.parametrize("path", ["/orders/1", "/nowhere/1"])
+    def test_head_request_gets_an_answer(self, run_hosted, path):
+        async def scenario(fleet):
+            answer = await read_some(fleet, make_request("HEAD", path))
+            assert answer.startswith(b"HTTP/1.1 ")
+
+        run_hosted(scenario)
