Run a failed task of a hosted entry again instead of ending the process

All callers of an entry lost their connections, without an answer, when one of its background tasks met an unexpected error. One entry in the registry is enough: an engine whose port is out of range makes the probe of the domain's owner raise ValueError, then that of the next owner. By reading, a configuration that drops a service between the two steps of domain_owner that look it up does the same (KeyError).

The tasks ran in the nursery of hosted.run, which any error ends.

Evidence: test_failing_task_does_not_end_open_requests added such an engine during a request. Before the change the request ended with "Server disconnected without sending a response", and the process ended.

Each background task is now run again after a pause, with its error in the log. They begin by reading what they need, as they do when the process starts. Servers that cannot bind their addresses still end the process.

--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -1,8 +1,12 @@
 """Runs an entry on a hosted platform: assembles its parts and stops them."""
 
+from collections import abc
+import functools
 import pathlib
 import signal
+import typing as t
 
+from absl import logging
 import trio
 
 from sycamorespool import asgi
@@ -29,6 +33,8 @@
 # Part of ``bounds.stop_s`` that is left for closing connections and exiting.
 EXIT_RESERVE_S = 0.8
 SETTINGS_CHECK_PERIOD_S = 1.0
+# Pause before a task that failed is run again.
+RESTART_PAUSE_S = 1.0
 
 log = logs.make_logger("entry")
 
@@ -120,6 +126,23 @@
         return 0
 
 
+async def _keep_running(
+    run_task: abc.Callable[..., abc.Awaitable[t.Any]], *args: t.Any
+) -> None:
+    """Run a task of the entry; run it again if it fails.
+
+    An error in one task does not end the process, which would close the
+    connections of all callers.
+    """
+    while True:
+        try:
+            await run_task(*args)
+            return
+        except Exception:
+            logging.exception("entry: a task failed, it is run again")
+        await trio.sleep(RESTART_PAUSE_S)
+
+
 async def run(path: str) -> None:
     """Run an entry with the settings of a file until a signal stops it.
 
@@ -133,15 +156,16 @@
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         start = nursery.start_soon
-        start(_reload_on_signal, context, path)
-        start(_reload_on_change, context, path)
-        start(config_follower.run, context)
-        start(registry_follower.run, context)
-        start(entry_announcements.run, context)
-        start(partition_share.hold, context)
-        start(domain_owner.run, context)
-        start(stall_detection.watch, context)
-        start(server_ends.run, context)
+        start_kept = functools.partial(start, _keep_running)
+        start_kept(_reload_on_signal, context, path)
+        start_kept(_reload_on_change, context, path)
+        start_kept(config_follower.run, context)
+        start_kept(registry_follower.run, context)
+        start_kept(entry_announcements.run, context)
+        start_kept(partition_share.hold, context)
+        start_kept(domain_owner.run, context)
+        start_kept(stall_detection.watch, context)
+        start_kept(server_ends.run, context)
         for app, address in (
             (_make_readiness_app(context), loaded.listen.readiness),
             (metrics_page.make_app(context), loaded.listen.metrics),
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -8,10 +8,12 @@
 import pytest
 import trio
 
+from sycamorespool.standins import hosted_engine
 from tests.hosted import fleet as fleets
 
 SLOW_S = 1.2
 SIGNAL_PAUSE_S = 0.2
+TASK_FAILED = "a task failed"
 
 
 def start_process(path):
@@ -48,6 +50,9 @@
     async def has_run(self):
         return bool(self.servers[0].runs)
 
+    async def has_failed(self):
+        return TASK_FAILED in self.path.with_suffix(".log").read_text()
+
     async def has_ended(self):
         return self.popen.poll() is not None
 
@@ -99,3 +104,37 @@
             assert fleet.popen.returncode == 0
 
         run_process(scenario)
+
+
+class TestTasks:
+    def test_failing_task_does_not_end_open_requests(self, run_process):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(add_unusable_engine, fleet)
+            assert (await fleet.ask("/orders/1")).status == 200
+            assert (await fleet.ask("/orders/1")).status == 200
+            assert not await fleet.has_ended()
+
+        run_process(scenario)
+
+    def test_failed_task_is_run_again(self, run_process):
+        async def scenario(fleet):
+            fleet.nursery.start_soon(fleet.ask, "/orders/1")
+            engine = await add_unusable_engine(fleet)
+            await fleet.wait_for(fleet.has_failed)
+            engine.remove_record()
+            for number in (1, 2):
+                await fleet.add(f"i-{number}", "assistant", "d")
+            await fleet.wait_for(fleet.has_open_heads)
+
+        run_process(scenario)
+
+
+async def add_unusable_engine(fleet):
+    """Register an engine whose port is out of range, during the first run."""
+    await fleet.wait_for(fleet.has_run)
+    engine = hosted_engine.HostedEngine(
+        fleet.store, "i-0", "assistant", "127.0.0.1:99999", "d"
+    )
+    engine.write_record()
+    return engine
