Leave the consumer group of entries beside the drain, not before it

After SIGTERM an entry without a working store took new connections for a second or two longer than one with it, and had that much less time to finish the requests on them before SIGKILL.

The drain left the consumer group first and waited for the store's answer, up to two timeouts of a call. An unexpected error there would have ended the process with open requests.

The group is left in a task of its own, so that the listener closes BALANCER_DELAY_S after the signal whatever the store does.

--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -62,6 +62,9 @@
             async for _ in signals:
                 if not context.is_stopping:
                     context.is_stopping = True
+                    nursery.start_soon(
+                        _keep_running, partition_share.release, context
+                    )
                     nursery.start_soon(_drain, context, stop)
 
 
@@ -74,7 +77,6 @@
     )
     limit_s = context.settings.bounds.stop_s - EXIT_RESERVE_S
     with trio.move_on_after(limit_s):
-        await partition_share.release(context)
         await trio.sleep(BALANCER_DELAY_S)
         stop.set()
         await context.wait_until_idle()
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -8,11 +8,14 @@
 import pytest
 import trio
 
+from sycamorespool import hosted
+from sycamorespool import sockets
 from sycamorespool.standins import hosted_engine
 from tests.hosted import fleet as fleets
 
 SLOW_S = 1.2
 SIGNAL_PAUSE_S = 0.2
+STOP_SLACK_S = 0.7
 TASK_FAILED = "a task failed"
 
 
@@ -50,6 +53,14 @@
     async def has_run(self):
         return bool(self.servers[0].runs)
 
+    async def refuses_connections(self):
+        try:
+            connection = await sockets.connect(self.callers)
+        except ConnectionRefusedError:
+            return True
+        connection.close()
+        return False
+
     async def has_failed(self):
         return TASK_FAILED in self.path.with_suffix(".log").read_text()
 
@@ -106,6 +117,19 @@
         run_process(scenario)
 
 
+class TestDrain:
+    def test_slow_store_does_not_lengthen_the_time_for_new_connections(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.store.slow_s = 9.0
+            fleet.popen.send_signal(signal.SIGTERM)
+            with trio.fail_after(hosted.BALANCER_DELAY_S + STOP_SLACK_S):
+                await fleet.wait_for(fleet.refuses_connections)
+
+        run_process(scenario)
+
+
 class TestTasks:
     def test_failing_task_does_not_end_open_requests(self, run_process):
         async def scenario(fleet):
