Answer requests that are open when a hosted entry has to end

After SIGTERM, callers whose requests had no answer by the end of `stop_s`, such as those at a server that is lost, got a closed connection: the platform killed the process.

The drain logged "stopped" in time, but the HTTP server then gave open requests the whole `stop_s` once more, counted from the close of the listener, so it never ended by itself. At its deadline it would have closed the connections without an answer, too.

Evidence: test_request_still_open_at_the_end_is_answered_before_the_kill timed out (TooSlowError) at `stop_s` after SIGTERM, without an answer and with the process running.

The grace of the HTTP server is now what is left of `stop_s`. At its end a request without an answer gets 502 stopping, which promises nothing, and one whose answer has begun is cut; 0.2 s later the connections close. Requests may run until 0.4 s before the kill, as that is enough for the last answers and the exit.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -5,7 +5,10 @@
 head with a ``problem+json`` that names the cause.
 """
 
+from collections import abc
+import contextlib
 import dataclasses
+import math
 import typing as t
 import urllib.parse
 
@@ -30,18 +33,25 @@
 }
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
+STOPPING = ("stopping", "the entry stopped before the request was answered")
+# Time for the answers to requests that are still open when the grace ends.
+LAST_ANSWERS_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
 class _Server:
     """Holds the state that the connections share.
 
-    ``idle`` holds the cancel scopes of the connections without a request.
+    ``idle`` holds the cancel scopes of the connections without a request,
+    and ``open`` those of the requests that are being served.  They may last
+    until ``end_s``.
     """
 
     app: asgi.App
     limits: settings.LimitsSection
     idle: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    open: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    end_s: float = math.inf
     is_stopping: bool = False
 
 
@@ -241,14 +251,33 @@
         return False
     exchange.is_head = request.method == b"HEAD"
     try:
-        await server.app(_make_scope(request), exchange.receive, exchange.send)
+        with _limit_time(server) as time_limit:
+            await server.app(
+                _make_scope(request), exchange.receive, exchange.send
+            )
+        if time_limit.cancelled_caught:
+            await _answer_failure(http, exchange, STOPPING)
     except asgi.CallerGone:
         raise
-    except Exception as error:
-        await _answer_failure(http, exchange, error)
+    except asgi.AnswerCut:
+        await _answer_failure(http, exchange, INTERNAL_ERROR)
+    except Exception:
+        logging.exception("callers: serving a request failed")
+        await _answer_failure(http, exchange, INTERNAL_ERROR)
     return await _end_exchange(server, http, connection)
 
 
+@contextlib.contextmanager
+def _limit_time(server: _Server) -> abc.Iterator[trio.CancelScope]:
+    """Cancel a request that is still open when the server has to end."""
+    with trio.CancelScope(deadline=server.end_s) as scope:
+        server.open.add(scope)
+        try:
+            yield scope
+        finally:
+            server.open.discard(scope)
+
+
 async def _end_exchange(
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> bool:
@@ -262,16 +291,12 @@
 
 
 async def _answer_failure(
-    http: h11.Connection, exchange: _Exchange, error: Exception
+    http: h11.Connection, exchange: _Exchange, cause: tuple[str, str]
 ) -> None:
-    """Answer a request that failed in the entry, if it has no answer yet."""
-    if not isinstance(error, asgi.AnswerCut):
-        logging.exception("callers: serving a request failed")
+    """Answer a request that the entry fails to serve, if it has no answer."""
     if exchange.has_begun or http.our_state is not h11.SEND_RESPONSE:
         return
-    response = problems.make_problem(
-        exceptions.OutcomeUnknown(*INTERNAL_ERROR)
-    )
+    response = problems.make_problem(exceptions.OutcomeUnknown(*cause))
     response.headers["connection"] = "close"
     await asgi.send_response(exchange.send, response)
 
@@ -316,8 +341,9 @@
 ) -> None:
     """Serve an application at ``IP:port`` until ``stop`` is set.
 
-    After that, open requests have ``grace_s`` seconds to end.  The task
-    status is the address that was bound.
+    After that, open requests have ``grace_s`` seconds to end.  Those that
+    have no answer by then get a 502.  The task status is the address that
+    was bound.
     """
     server = _Server(app, limits)
     listener = sockets.Listener(address)
@@ -331,7 +357,10 @@
         server.is_stopping = True
         for idle in server.idle:
             idle.cancel()
-        nursery.cancel_scope.deadline = trio.current_time() + grace_s
+        server.end_s = trio.current_time() + grace_s
+        for scope in server.open:
+            scope.deadline = server.end_s
+        nursery.cancel_scope.deadline = server.end_s + LAST_ANSWERS_S
 
 
 async def _accept(
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -30,8 +30,8 @@
 # The load balancer probes an entry once a second and removes it after two
 # failed probes.
 BALANCER_DELAY_S = 2.3
-# Part of ``bounds.stop_s`` that is left for closing connections and exiting.
-EXIT_RESERVE_S = 0.8
+# Part of ``bounds.stop_s`` that is left for the last answers and exiting.
+EXIT_RESERVE_S = 0.4
 SETTINGS_CHECK_PERIOD_S = 1.0
 # Pause before a task that failed is run again.
 RESTART_PAUSE_S = 1.0
@@ -75,13 +75,14 @@
         "stopping, open requests are finished",
         open=context.requests_open,
     )
-    limit_s = context.settings.bounds.stop_s - EXIT_RESERVE_S
-    with trio.move_on_after(limit_s):
+    with trio.move_on_after(_find_grace_s(context)):
         await trio.sleep(BALANCER_DELAY_S)
-        stop.set()
-        await context.wait_until_idle()
     stop.set()
-    log.info("stopped", open=context.requests_open)
+
+
+def _find_grace_s(context: entry_context.EntryContext) -> float:
+    """Return the time from a stop signal in which requests may end."""
+    return max(0.0, context.settings.bounds.stop_s - EXIT_RESERVE_S)
 
 
 def _reload(context: entry_context.EntryContext, path: str) -> None:
@@ -186,7 +187,8 @@
             loaded.listen.callers,
             loaded.limits,
             stop,
-            grace_s=loaded.bounds.stop_s,
+            grace_s=max(0.0, _find_grace_s(context) - BALANCER_DELAY_S),
         )
+        log.info("stopped", open=context.requests_open)
         nursery.cancel_scope.cancel()
     log.info("ended", name=context.name)
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -10,6 +10,7 @@
 from sycamorespool import settings
 from sycamorespool import sockets
 
+GRACE_S = 5.0
 REQUEST = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab"
 
 
@@ -25,6 +26,7 @@
                 "127.0.0.1:0",
                 settings.LimitsSection(),
                 stop,
+                GRACE_S,
             )
             await scenario(address, stop)
             nursery.cancel_scope.cancel()
@@ -118,3 +120,35 @@
         assert answer.count(b"content-length: 6\r\n") == 2
         assert answer.endswith(b"\r\n\r\nabsent")
         assert answer.count(b"absent") == 1
+
+
+class TestStop:
+    @pytest.mark.parametrize("has_begun", [False, True])
+    def test_request_open_at_the_end_of_the_grace_is_answered(self, has_begun):
+        async def app(scope, receive, send):
+            await asgi.read_body(receive, 99)
+            if has_begun:
+                start = {"type": "http.response.start", "status": 200}
+                await send({**start, "headers": []})
+                part = {"type": "http.response.body", "body": b"part"}
+                await send({**part, "more_body": True})
+            await trio.sleep_forever()
+
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await connection.send(REQUEST)
+            await trio.sleep(1.0)
+            stop.set()
+            stopped_s = trio.current_time()
+            answer = await read_all(connection)
+            connection.close()
+            took_s = trio.current_time() - stopped_s
+            assert GRACE_S <= took_s < GRACE_S + server.LAST_ANSWERS_S
+            assert answer.count(b"HTTP/1.1") == 1
+            if has_begun:
+                assert answer.endswith(b"4\r\npart\r\n")
+            else:
+                assert answer.startswith(b"HTTP/1.1 502 ")
+                assert b'"code":"stopping"' in answer
+
+        run(app, scenario)
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -1,6 +1,8 @@
 """Tests that signals do not end a caller's request without an answer."""
 
+import copy
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -16,6 +18,10 @@
 SLOW_S = 1.2
 SIGNAL_PAUSE_S = 0.2
 STOP_SLACK_S = 0.7
+STOP_S = 8.0
+SHORT_STOP_S = 4.0
+# Longer than any request here lasts.
+TIMEOUT_S = 20.0
 TASK_FAILED = "a task failed"
 
 
@@ -34,13 +40,18 @@
 class ProcessFleet(fleets.HostedFleet):
     """The stand-ins of the store and of plain servers, and an entry process.
 
-    The settings are those of :class:`HostedFleet`.
+    The settings are those of :class:`HostedFleet`, but for the time to stop.
     """
 
-    async def start(self):
+    async def start(self, stop_s):
+        self.config = copy.deepcopy(fleets.CONFIG)
+        for route in self.config["routes"]:
+            route["timeout_ms"] = 1000 * TIMEOUT_S
+        text = self.path.read_text()
+        self.path.write_text(re.sub("stop_s = .*", f"stop_s = {stop_s}", text))
         app = fleets.asgi_server.asgi.make_app(self.store.handle)
         await self.serve(app, self.store_address)
-        self.store.put("keyed.op", "config", fleets.CONFIG)
+        self.store.put("keyed.op", "config", self.config)
         await self.add("p-0", "ledger")
         self.popen = start_process(self.path)
         await self.wait_for(self.is_ready)
@@ -72,12 +83,12 @@
 def run_process(tmp_path):
     """Return a function that runs a scenario with an entry process."""
 
-    def run(scenario):
+    def run(scenario, stop_s=STOP_S):
         async def main():
             async with trio.open_nursery() as nursery:
                 fleet = ProcessFleet(nursery, tmp_path)
                 try:
-                    await fleet.start()
+                    await fleet.start(stop_s)
                     await scenario(fleet)
                 finally:
                     fleet.close()
@@ -93,9 +104,8 @@
     await fleet.wait_for(fleet.has_run)
     for number in numbers:
         fleet.popen.send_signal(number)
-        version = fleets.CONFIG["version"] + 1
-        changed = {**fleets.CONFIG, "version": version}
-        fleet.store.put("keyed.op", "config", changed)
+        fleet.config["version"] += 1
+        fleet.store.put("keyed.op", "config", fleet.config)
         await trio.sleep(SIGNAL_PAUSE_S)
 
 
@@ -129,6 +139,21 @@
 
         run_process(scenario)
 
+    def test_request_still_open_at_the_end_is_answered_before_the_kill(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].faults.append("mute")
+            fleet.nursery.start_soon(send_signals, fleet, signal.SIGTERM)
+            with trio.fail_after(SHORT_STOP_S):
+                answer = await fleet.ask("/orders/1")
+                await fleet.wait_for(fleet.has_ended)
+            assert answer.status == 502
+            assert b'"code":"stopping"' in answer.body
+            assert fleet.popen.returncode == 0
+
+        run_process(scenario, stop_s=SHORT_STOP_S)
+
 
 class TestTasks:
     def test_failing_task_does_not_end_open_requests(self, run_process):
