Announce the close of a caller's connection when the answer begins

After SIGTERM a caller could not tell that the connection on which it had just got an answer was about to close, sent its next request there and lost it. This held for each request that was open when the signal came. Nor did an answer to a request whose body was not read (408, 413) announce the close that follows it.

The hosted application decided on `connection: close` when a request began, and knew nothing of unread bodies.

Evidence: test_answer_to_an_earlier_request_announces_the_close (an entry process) failed with None == 'close'.

The HTTP server now adds the header when a response begins, if the connection will close after it; the entry tells the server that it is leaving from the signal on.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -33,6 +33,7 @@
 }
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
+CLOSE = (b"connection", b"close")
 STOPPING = ("stopping", "the entry stopped before the request was answered")
 # Time for the answers to requests that are still open when the grace ends.
 LAST_ANSWERS_S = 0.2
@@ -44,7 +45,8 @@
 
     ``idle`` holds the cancel scopes of the connections without a request,
     and ``open`` those of the requests that are being served.  They may last
-    until ``end_s``.
+    until ``end_s``.  Once ``is_leaving``, callers are told to open new
+    connections, which reach other processes.
     """
 
     app: asgi.App
@@ -52,6 +54,7 @@
     idle: set[trio.CancelScope] = dataclasses.field(default_factory=set)
     open: set[trio.CancelScope] = dataclasses.field(default_factory=set)
     end_s: float = math.inf
+    is_leaving: abc.Callable[[], bool] = lambda: False
     is_stopping: bool = False
 
 
@@ -80,10 +83,14 @@
     """
 
     def __init__(
-        self, http: h11.Connection, connection: sockets.Connection
+        self,
+        server: _Server,
+        http: h11.Connection,
+        connection: sockets.Connection,
     ) -> None:
         self.has_begun = False
         self.is_head = False
+        self._server = server
         self._http = http
         self._connection = connection
         self._head: h11.Response | None = None
@@ -131,8 +138,11 @@
             If the connection is broken.
         """
         if message["type"] == "http.response.start":
+            headers = list(message["headers"])
+            if CLOSE not in headers and self._is_last():
+                headers.append(CLOSE)
             self._head = h11.Response(
-                status_code=message["status"], headers=message["headers"]
+                status_code=message["status"], headers=headers
             )
             return
         encoded = self._encode_body(message)
@@ -142,6 +152,12 @@
         except OSError as error:
             raise asgi.CallerGone from error
 
+    def _is_last(self) -> bool:
+        """Tell whether the connection closes after this response."""
+        if self._http.their_state is not h11.DONE:
+            return True
+        return self._server.is_stopping or self._server.is_leaving()
+
     def _encode_body(self, message: dict[str, t.Any]) -> bytes:
         body = b"" if self.is_head else message.get("body", b"")
         is_last = not message.get("more_body", False)
@@ -240,7 +256,7 @@
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> bool:
     """Serve one request; return whether another one may follow."""
-    exchange = _Exchange(http, connection)
+    exchange = _Exchange(server, http, connection)
     try:
         request = await _read_head(server, http, connection)
     except _HeadRefused as refused:
@@ -337,15 +353,17 @@
     limits: settings.LimitsSection,
     stop: trio.Event,
     grace_s: float = 3.0,
+    is_leaving: abc.Callable[[], bool] = lambda: False,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application at ``IP:port`` until ``stop`` is set.
 
     After that, open requests have ``grace_s`` seconds to end.  Those that
-    have no answer by then get a 502.  The task status is the address that
-    was bound.
+    have no answer by then get a 502.  From when ``is_leaving`` returns true,
+    also before the stop, each connection closes after its next answer, which
+    says so.  The task status is the address that was bound.
     """
-    server = _Server(app, limits)
+    server = _Server(app, limits, is_leaving=is_leaving)
     listener = sockets.Listener(address)
     async with trio.open_nursery() as nursery:
         async with trio.open_nursery() as accepting:
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -188,6 +188,7 @@
             loaded.limits,
             stop,
             grace_s=max(0.0, _find_grace_s(context) - BALANCER_DELAY_S),
+            is_leaving=lambda: context.is_stopping,
         )
         log.info("stopped", open=context.requests_open)
         nursery.cancel_scope.cancel()
--- a/src/sycamorespool/hosted_callers.py
+++ b/src/sycamorespool/hosted_callers.py
@@ -44,12 +44,11 @@
         context = self._context
         arrived_s = trio.current_time()
         target = asgi.make_request(scope).target
-        own_headers = {"connection": "close"} if context.is_stopping else {}
         caller_answer = relay.Relay(
             send,
             "",
             event_ids.EventIdTracker(),
-            own_headers,
+            {},
             headers.select_answer_headers,
         )
         request = headers.decode_request(
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -11,10 +11,12 @@
 from sycamorespool import sockets
 
 GRACE_S = 5.0
+SLOW_S = 1.0
+QUIET_S = 0.01
 REQUEST = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\nab"
 
 
-def run(app, scenario):
+def run(app, scenario, is_leaving=lambda: False):
     """Run a scenario on a server; it gets the address and the stop event."""
 
     async def main():
@@ -27,11 +29,12 @@
                 settings.LimitsSection(),
                 stop,
                 GRACE_S,
+                is_leaving,
             )
             await scenario(address, stop)
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=QUIET_S))
 
 
 async def read_all(connection):
@@ -152,3 +155,31 @@
                 assert b'"code":"stopping"' in answer
 
         run(app, scenario)
+
+    def test_answer_closes_the_connection_once_the_server_is_leaving(self):
+        leaving = []
+
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await connection.send(REQUEST)
+            await trio.sleep(SLOW_S / 2)
+            leaving.append(True)
+            answer = await read_all(connection)
+            connection.close()
+            assert b"\r\nconnection: close\r\n" in answer.lower()
+
+        run(answer_slowly, scenario, lambda: bool(leaving))
+
+    def test_answer_to_an_unread_body_announces_the_close(self):
+        async def app(scope, receive, send):
+            await asgi.send_response(send, asgi.Response(408))
+
+        answer = run_ask(app, REQUEST[:-1])
+        assert b"\r\nconnection: close\r\n" in answer.lower()
+
+
+async def answer_slowly(scope, receive, send):
+    await asgi.read_body(receive, 99)
+    with trio.move_on_after(SLOW_S):
+        await receive()
+    await asgi.send_response(send, asgi.Response(200, b"whole"))
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -139,6 +139,17 @@
 
         run_process(scenario)
 
+    def test_answer_to_an_earlier_request_announces_the_close(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(send_signals, fleet, signal.SIGTERM)
+            answer = await fleet.ask("/orders/1")
+            assert answer.headers.get("connection") == "close"
+
+        run_process(scenario)
+
     def test_request_still_open_at_the_end_is_answered_before_the_kill(
         self, run_process
     ):
