Serve the requests that reached a connection before it closes

When an entry stopped, a caller's request that had arrived on a kept connection was dropped without an answer: one that was already read behind a running request, one that waited in the kernel during that request, and one that arrived just as the server was told to stop. In the second case the reset for the unread bytes could also take the end of the running answer with it.

The server closed each connection after its running request, and each idle one, without a look at what had arrived.

Evidence, before: test_pipelined_request_that_was_read_is_answered got one answer of two; test_unread_request_is_answered_and_resets_nothing ended in ConnectionResetError, and so did test_request_that_crosses_the_stop_is_answered[3].

A stopping server now closes a connection only if nothing more has arrived on it, and an answer announces the close only then. A request that is sent after that still crosses the close, as HTTP/1.1 allows.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -156,7 +156,10 @@
         """Tell whether the connection closes after this response."""
         if self._http.their_state is not h11.DONE:
             return True
-        return self._server.is_stopping or self._server.is_leaving()
+        if not (self._server.is_stopping or self._server.is_leaving()):
+            return False
+        # Following requests that have already arrived are still served.
+        return not self._http.trailing_data[0] and self._connection.is_idle()
 
     def _encode_body(self, message: dict[str, t.Any]) -> bytes:
         body = b"" if self.is_head else message.get("body", b"")
@@ -222,15 +225,15 @@
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> h11.Request | None:
     limits = server.limits
-    with trio.CancelScope() as idle:
-        idle.deadline = trio.current_time() + limits.keep_alive_timeout_s
+    wait_s = 0.0 if server.is_stopping else limits.keep_alive_timeout_s
+    with trio.move_on_after(wait_s) as idle:
         server.idle.add(idle)
         try:
             if not http.trailing_data[0]:
                 http.receive_data(await connection.receive())
         finally:
             server.idle.discard(idle)
-    if idle.cancelled_caught:
+    if idle.cancelled_caught and connection.is_idle():
         return None
     event = None
     try:
@@ -262,7 +265,7 @@
     except _HeadRefused as refused:
         response = problems.make_problem(refused.error)
         await asgi.send_response(exchange.send, response)
-        return await _end_exchange(server, http, connection)
+        return await _end_exchange(http, connection)
     if request is None:
         return False
     exchange.is_head = request.method == b"HEAD"
@@ -280,7 +283,7 @@
     except Exception:
         logging.exception("callers: serving a request failed")
         await _answer_failure(http, exchange, INTERNAL_ERROR)
-    return await _end_exchange(server, http, connection)
+    return await _end_exchange(http, connection)
 
 
 @contextlib.contextmanager
@@ -295,12 +298,12 @@
 
 
 async def _end_exchange(
-    server: _Server, http: h11.Connection, connection: sockets.Connection
+    http: h11.Connection, connection: sockets.Connection
 ) -> bool:
     """End an exchange; return whether another one may follow."""
     if http.our_state is h11.DONE and http.their_state is h11.DONE:
         http.start_next_cycle()
-        return not server.is_stopping
+        return True
     if http.our_state in (h11.DONE, h11.MUST_CLOSE):
         await _linger(connection)
     return False
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -177,9 +177,57 @@
         answer = run_ask(app, REQUEST[:-1])
         assert b"\r\nconnection: close\r\n" in answer.lower()
 
+    def test_pipelined_request_that_was_read_is_answered(self):
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await connection.send(2 * REQUEST)
+            await trio.sleep(SLOW_S / 2)
+            stop.set()
+            answer = await read_all(connection)
+            connection.close()
+            assert answer.count(b"HTTP/1.1 200 ") == 2
+            assert answer.endswith(b"whole")
+
+        run(answer_slowly, scenario)
+
+    @pytest.mark.parametrize("passes", range(4))
+    def test_request_that_crosses_the_stop_is_answered(self, passes):
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await trio.testing.wait_all_tasks_blocked(QUIET_S)
+            stop.set()
+            for _ in range(passes):
+                await trio.lowlevel.checkpoint()
+            await connection.send(REQUEST)
+            answer = await read_all(connection)
+            connection.close()
+            assert answer.count(b"HTTP/1.1 200 ") == 1
+
+        run(answer_slowly, scenario)
+
+    def test_unread_request_is_answered_and_resets_nothing(self):
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await connection.send(REQUEST)
+            await trio.sleep(SLOW_S / 2)
+            stop.set()
+            await connection.send(REQUEST)
+            answer = await read_all(connection)
+            connection.close()
+            assert answer.count(b"HTTP/1.1 200 ") == 2
+            assert answer.endswith(b"whole")
+
+        run(answer_unread, scenario)
+
 
 async def answer_slowly(scope, receive, send):
     await asgi.read_body(receive, 99)
     with trio.move_on_after(SLOW_S):
         await receive()
     await asgi.send_response(send, asgi.Response(200, b"whole"))
+
+
+async def answer_unread(scope, receive, send):
+    await asgi.read_body(receive, 99)
+    await trio.sleep(SLOW_S)
+    await asgi.send_response(send, asgi.Response(200, b"whole"))
