Refuse CONNECT at the border, as its answer hangs the entry

One request with the method CONNECT on a route of the configuration hung the entry: all callers lost their open requests, and no signal but SIGKILL had any effect.

After an answer of 2xx to CONNECT, h11 takes the connection for a tunnel and gives PAUSED for ever; BackendAnswer.read asks for the next event again without ever giving up the processor.

The HTTP server answers CONNECT by 501, not run, before the application sees it. The loop in streaming_client.py is unchanged; only callers could reach it.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -31,6 +31,7 @@
     431: ("head_too_large", "the request head is too long"),
     501: ("bad_http", "the transfer encoding is not supported"),
 }
+NO_TUNNELS = ("bad_http", "the method CONNECT is not supported", 501)
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
 CLOSE = (b"connection", b"close")
@@ -251,6 +252,8 @@
         raise _HeadRefused("head_timeout", detail, 408)
     if not isinstance(event, h11.Request):
         return None
+    if event.method == b"CONNECT":
+        raise _HeadRefused(*NO_TUNNELS)
     _check_size(event, limits.max_head_bytes)
     return event
 
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -125,6 +125,17 @@
         assert answer.count(b"absent") == 1
 
 
+class TestConnect:
+    def test_tunnel_is_refused_before_it_reaches_the_application(self):
+        async def app(scope, receive, send):
+            await asgi.send_response(send, asgi.Response(200))
+
+        answer = run_ask(app, REQUEST.replace(b"POST", b"CONNECT"))
+        assert answer.startswith(b"HTTP/1.1 501 ")
+        assert b'"code":"bad_http"' in answer
+        assert b'"outcome":"not run"' in answer
+
+
 class TestStop:
     @pytest.mark.parametrize("has_begun", [False, True])
     def test_request_open_at_the_end_of_the_grace_is_answered(self, has_begun):
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -14,6 +14,7 @@
 from sycamorespool import sockets
 from sycamorespool.standins import hosted_engine
 from tests.hosted import fleet as fleets
+from tests.hosted import raw_server
 
 SLOW_S = 1.2
 SIGNAL_PAUSE_S = 0.2
@@ -22,6 +23,11 @@
 SHORT_STOP_S = 4.0
 # Longer than any request here lasts.
 TIMEOUT_S = 20.0
+CONNECT = (
+    f"CONNECT /stock/1 HTTP/1.1\r\nhost: {fleets.HOST}\r\n"
+    f"authorization: Bearer {fleets.KEY}\r\n"
+    "sycamorespool-attempt-id: a2\r\ncontent-length: 0\r\n\r\n"
+).encode()
 TASK_FAILED = "a task failed"
 
 
@@ -190,6 +196,29 @@
         run_process(scenario)
 
 
+class TestTunnels:
+    def test_connect_request_does_not_hang_the_entry(self, run_process):
+        async def scenario(fleet):
+            odd = raw_server.RawServer(fleet.nursery, [raw_server.send(b"x")])
+            await odd.start()
+            odd.write_record(fleet.store, "p-9", "ledger")
+            fleet.servers[0].remove_record()
+
+            async def is_served():
+                answer = await fleet.ask("/stock/1", "GET")
+                return answer.status == 200 and odd.heads
+
+            await fleet.wait_for(is_served)
+            connection = await sockets.connect(fleet.callers)
+            await connection.send(CONNECT)
+            with trio.fail_after(STOP_S):
+                assert await connection.receive()
+                await fleet.wait_for(is_served)
+            connection.close()
+
+        run_process(scenario)
+
+
 async def add_unusable_engine(fleet):
     """Register an engine whose port is out of range, during the first run."""
     await fleet.wait_for(fleet.has_run)
