Accept the connections that wait when the listener is to close

Callers whose new connection waited to be accepted while the entry stopped got a reset, though the kernel had taken the connection and their request.

The listener was closed at once, which resets the connections in its queue.

Evidence: test_connections_that_wait_to_be_accepted_are_served failed with ConnectionResetError.

The server goes on accepting for 0.05 s after it is told to stop. These connections are then like any others: what has arrived on them is served, and the answer announces the close.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -24,6 +24,8 @@
 
 # Bytes of following requests that are read during an answer.
 MAX_PIPELINED_BYTES = 16 * 1024
+# Time to accept the connections that are waiting when the server stops.
+LAST_ACCEPTS_S = 0.05
 # Limits of reading what a caller still sends after its answer.
 LINGER_S = 1.0
 LINGER_BYTES = 4 * 1024 * 1024
@@ -376,12 +378,14 @@
             accepting.start_soon(_accept, server, listener, nursery)
             task_status.started(listener.address)
             await stop.wait()
+            server.end_s = trio.current_time() + grace_s
+            # Closing the listener resets the connections that wait for it.
+            await trio.sleep(LAST_ACCEPTS_S)
             accepting.cancel_scope.cancel()
         listener.close()
         server.is_stopping = True
         for idle in server.idle:
             idle.cancel()
-        server.end_s = trio.current_time() + grace_s
         for scope in server.open:
             scope.deadline = server.end_s
         nursery.cancel_scope.deadline = server.end_s + LAST_ANSWERS_S
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server: which requests it answers in which state."""
 
+import socket
+
 import pytest
 import trio
 import trio.testing
@@ -216,6 +218,23 @@
 
         run(answer_slowly, scenario)
 
+    def test_connections_that_wait_to_be_accepted_are_served(self):
+        async def scenario(address, stop):
+            stop.set()
+            host, port = address.split(":")
+            waiting = [
+                socket.create_connection((host, int(port))) for _ in range(9)
+            ]
+            connections = [sockets.Connection(raw) for raw in waiting]
+            for connection in connections:
+                await connection.send(REQUEST)
+            for connection in connections:
+                answer = await read_all(connection)
+                connection.close()
+                assert answer.count(b"HTTP/1.1 200 ") == 1
+
+        run(answer_slowly, scenario)
+
     def test_unread_request_is_answered_and_resets_nothing(self):
         async def scenario(address, stop):
             connection = await sockets.connect(address)
