--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import math
-import typing as t
 import urllib.parse
 
 from absl import logging
@@ -17,13 +16,12 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.callers import exchange
 from sycamorespool.callers import problems
 from sycamorespool import exceptions
 from sycamorespool import settings
 from sycamorespool import sockets
 
-# Bytes of following requests that are read during an answer.
-MAX_PIPELINED_BYTES = 16 * 1024
 # Time to accept the connections that are waiting when the server stops.
 LAST_ACCEPTS_S = 0.05
 # Limits of reading what a caller still sends after its answer.
@@ -36,7 +34,6 @@
 NO_TUNNELS = ("bad_http", "the method CONNECT is not supported", 501)
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
-CLOSE = (b"connection", b"close")
 STOPPING = ("stopping", "the entry stopped before the request was answered")
 # Time for the answers to requests that are still open when the grace ends.
 LAST_ANSWERS_S = 0.2
@@ -60,6 +57,10 @@
     is_leaving: abc.Callable[[], bool] = lambda: False
     is_stopping: bool = False
 
+    def is_closing(self) -> bool:
+        """Tell whether connections close after their next answer."""
+        return self.is_stopping or self.is_leaving()
+
 
 class _HeadRefused(Exception):
     """Raised when a request head is not valid, or over a limit."""
@@ -69,136 +70,6 @@
         self.error = exceptions.NotRun(code, detail, status)
 
 
-class _Exchange:
-    """Holds one request and its response on a connection.
-
-    ``receive`` and ``send`` are those of ASGI.  The head of a response is
-    sent together with the first part of its body, and its end together with
-    the last part.
-
-    Attributes
-    ----------
-    has_begun : bool
-        Whether a part of the response was sent, after which no other one
-        can be given.
-    is_head : bool
-        Whether the method is HEAD, whose response has no body.
-    """
-
-    def __init__(
-        self,
-        server: _Server,
-        http: h11.Connection,
-        connection: sockets.Connection,
-    ) -> None:
-        self.has_begun = False
-        self.is_head = False
-        self._server = server
-        self._http = http
-        self._connection = connection
-        self._head: h11.Response | None = None
-        self._is_body_read = False
-        self._is_chunked = False
-        self._pipelined_bytes = 0
-
-    async def receive(self) -> dict[str, t.Any]:
-        """Return the next part of the body, or the caller's disconnection."""
-        if self._is_body_read:
-            await self._wait_for_disconnect()
-            return {"type": "http.disconnect"}
-        try:
-            event = await _next_event(self._http, self._connection)
-        except (OSError, h11.RemoteProtocolError):
-            return {"type": "http.disconnect"}
-        if isinstance(event, h11.Data):
-            return {
-                "type": "http.request",
-                "body": bytes(event.data),
-                "more_body": True,
-            }
-        self._is_body_read = True
-        return {"type": "http.request", "body": b"", "more_body": False}
-
-    async def _wait_for_disconnect(self) -> None:
-        while True:
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-                await trio.sleep_forever()
-            try:
-                data = await self._connection.receive()
-            except (OSError, trio.ClosedResourceError):
-                return
-            self._http.receive_data(data)
-            self._pipelined_bytes += len(data)
-            if not data:
-                return
-
-    async def send(self, message: dict[str, t.Any]) -> None:
-        """Send a part of the response.
-
-        Raises
-        ------
-        CallerGone
-            If the connection is broken.
-        """
-        if message["type"] == "http.response.start":
-            headers = list(message["headers"])
-            if CLOSE not in headers and self._is_last():
-                headers.append(CLOSE)
-            self._head = h11.Response(
-                status_code=message["status"], headers=headers
-            )
-            return
-        encoded = self._encode_body(message)
-        self.has_begun = True
-        try:
-            await self._connection.send(encoded)
-        except OSError as error:
-            raise asgi.CallerGone from error
-
-    def _is_last(self) -> bool:
-        """Tell whether the connection closes after this response."""
-        if self._http.their_state is not h11.DONE:
-            return True
-        if not (self._server.is_stopping or self._server.is_leaving()):
-            return False
-        # Following requests that have already arrived are still served.
-        return not self._http.trailing_data[0] and self._connection.is_idle()
-
-    def _encode_body(self, message: dict[str, t.Any]) -> bytes:
-        body = b"" if self.is_head else message.get("body", b"")
-        is_last = not message.get("more_body", False)
-        if self._is_chunked and body and not is_last:
-            # The same bytes as h11 returns for a chunk, without the cost of
-            # its checks, which the first chunk has passed.
-            return b"%x\r\n%b\r\n" % (len(body), body)
-        parts = []
-        if self._head is not None:
-            parts.append(self._http.send(self._head))
-            self._head = None
-        if body:
-            encoded = self._http.send(h11.Data(data=body))
-            self._is_chunked = encoded != body
-            parts.append(encoded)
-        if is_last:
-            parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(parts)
-
-
-async def _next_event(
-    http: h11.Connection, connection: sockets.Connection
-) -> t.Any:
-    while True:
-        event = http.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if http.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await connection.send(http.send(continue_response))
-        http.receive_data(await connection.receive())
-
-
 def _make_scope(request: h11.Request) -> asgi.Scope:
     path, _, query = request.target.partition(b"?")
     return {
@@ -241,7 +112,7 @@
     event = None
     try:
         with trio.move_on_after(limits.head_timeout_s):
-            event = await _next_event(http, connection)
+            event = await exchange.next_event(http, connection)
     except h11.RemoteProtocolError as error:
         status = error.error_status_hint
         raise _HeadRefused(
@@ -264,30 +135,30 @@
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> bool:
     """Serve one request; return whether another one may follow."""
-    exchange = _Exchange(server, http, connection)
+    current = exchange.Exchange(http, connection, server.is_closing)
     try:
         request = await _read_head(server, http, connection)
     except _HeadRefused as refused:
         response = problems.make_problem(refused.error)
-        await asgi.send_response(exchange.send, response)
+        await asgi.send_response(current.send, response)
         return await _end_exchange(http, connection)
     if request is None:
         return False
-    exchange.is_head = request.method == b"HEAD"
+    current.is_head = request.method == b"HEAD"
     try:
         with _limit_time(server) as time_limit:
             await server.app(
-                _make_scope(request), exchange.receive, exchange.send
+                _make_scope(request), current.receive, current.send
             )
         if time_limit.cancelled_caught:
-            await _answer_failure(http, exchange, STOPPING)
+            await _answer_failure(http, current, STOPPING)
     except asgi.CallerGone:
         raise
     except asgi.AnswerCut:
-        await _answer_failure(http, exchange, INTERNAL_ERROR)
+        await _answer_failure(http, current, INTERNAL_ERROR)
     except Exception:
         logging.exception("callers: serving a request failed")
-        await _answer_failure(http, exchange, INTERNAL_ERROR)
+        await _answer_failure(http, current, INTERNAL_ERROR)
     return await _end_exchange(http, connection)
 
 
@@ -315,14 +186,14 @@
 
 
 async def _answer_failure(
-    http: h11.Connection, exchange: _Exchange, cause: tuple[str, str]
+    http: h11.Connection, current: exchange.Exchange, cause: tuple[str, str]
 ) -> None:
     """Answer a request that the entry fails to serve, if it has no answer."""
-    if exchange.has_begun or http.our_state is not h11.SEND_RESPONSE:
+    if current.has_begun or http.our_state is not h11.SEND_RESPONSE:
         return
     response = problems.make_problem(exceptions.OutcomeUnknown(*cause))
     response.headers["connection"] = "close"
-    await asgi.send_response(exchange.send, response)
+    await asgi.send_response(current.send, response)
 
 
 async def _linger(connection: sockets.Connection) -> None:
