Leave the group of entries again after a join that was under way

When SIGTERM came during a join, the fabric domains and the part of the budgets of the stopped entry had no owner until its membership expired, some seconds later.

The store could handle the join after the leave; the answer also gave the stopping entry its partitions back.

Evidence: test_join_under_way_at_the_stop_does_not_keep_the_partitions found the entry among the members.

A join that returns after the stop is followed by another leave.

--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -73,6 +73,10 @@
                 max(least_ttl_s, MISSED_JOINS * period_s),
                 _find_generation(context),
             )
+            if context.is_stopping:
+                # The store may have handled the join after the leave.
+                await release(context)
+                return
             has_changed = _apply_assignment(context, assignment)
             failures.note_success()
             is_busy = has_changed or context.owns_domains
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -9,6 +9,8 @@
 from sycamorespool import partition_share
 from sycamorespool.platform import store
 
+JOIN_S = 0.1
+
 
 class FakeStore:
     """A store that records the generations with which members join."""
@@ -80,3 +82,38 @@
     )
     assert times_s[-1] - times_s[-2] == pytest.approx(period_s)
     assert platform_store.ttls_s[-1] == 3 * period_s
+
+
+class SlowStore(FakeStore):
+    """A store at which a join takes effect only after a later leave."""
+
+    def __init__(self, timeline):
+        super().__init__(timeline)
+        self.members = set()
+
+    async def join(self, group, member, topics, ttl_s, generation):
+        await trio.sleep(JOIN_S)
+        self.members.add(member)
+        return await super().join(group, member, topics, ttl_s, generation)
+
+    async def leave(self, group, member):
+        self.members.discard(member)
+
+
+def test_join_under_way_at_the_stop_does_not_keep_the_partitions():
+    platform_store = SlowStore(1)
+    context = make_context(platform_store, store.Assignment(9, frozenset(), 1))
+
+    async def stop():
+        await trio.sleep(JOIN_S / 2)
+        context.is_stopping = True
+        await partition_share.release(context)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            nursery.start_soon(partition_share.hold, context)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not platform_store.members
+    assert not context.assignment.partitions
