Reload settings that changed while the entry was starting

A change of the settings file between its first load and the start of the task that watches it was missed until the next change; SIGHUP is ignored at that moment.

The task took the time of change that it found when it began as the known one.

Evidence: test_change_during_the_start_is_not_missed found no line "settings reloaded" in three periods of the check.

The time of change is now read before the file is loaded.

--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -109,10 +109,12 @@
 
 
 async def _reload_on_change(
-    context: entry_context.EntryContext, path: str
+    context: entry_context.EntryContext, path: str, changed_ns: int
 ) -> None:
-    """Reload the settings when their file changes, also without SIGHUP."""
-    changed_ns = _read_mtime_ns(path)
+    """Reload the settings when their file changes, also without SIGHUP.
+
+    ``changed_ns`` is when the file had changed before it was loaded.
+    """
     while True:
         await trio.sleep(SETTINGS_CHECK_PERIOD_S)
         found_ns = _read_mtime_ns(path)
@@ -154,6 +156,7 @@
     SettingsError
         If the file cannot be read or has invalid settings.
     """
+    changed_ns = _read_mtime_ns(path)
     loaded = node_settings.load(path)
     context = entry_context.make_context(loaded)
     stop = trio.Event()
@@ -161,7 +164,7 @@
         start = nursery.start_soon
         start_kept = functools.partial(start, _keep_running)
         start_kept(_reload_on_signal, context, path)
-        start_kept(_reload_on_change, context, path)
+        start_kept(_reload_on_change, context, path, changed_ns)
         start_kept(config_follower.run, context)
         start_kept(registry_follower.run, context)
         start_kept(entry_announcements.run, context)
