--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -218,6 +218,21 @@
 
         run(answer_slowly, scenario)
 
+    @pytest.mark.parametrize("cut", [10, len(REQUEST) - 1])
+    def test_request_that_is_arriving_at_the_stop_is_answered(self, cut):
+        async def scenario(address, stop):
+            connection = await sockets.connect(address)
+            await connection.send(REQUEST[:cut])
+            await trio.sleep(SLOW_S)
+            stop.set()
+            await trio.sleep(SLOW_S)
+            await connection.send(REQUEST[cut:])
+            answer = await read_all(connection)
+            connection.close()
+            assert answer.count(b"HTTP/1.1 200 ") == 1
+
+        run(answer_slowly, scenario)
+
     def test_connections_that_wait_to_be_accepted_are_served(self):
         async def scenario(address, stop):
             stop.set()
