Refuse a request body that is no valid HTTP

A caller whose chunked body was malformed got a closed connection without an answer.

The server gave the application a disconnection for it, which is answered by nothing.

Evidence: test_body_that_is_no_http_is_refused got no byte.

When the application is done and the body turned out to be invalid, the server answers 400 bad_http, not run.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -35,6 +35,8 @@
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
 STOPPING = ("stopping", "the entry stopped before the request was answered")
+# States of a connection in which a response may begin.
+ANSWERABLE = (h11.IDLE, h11.SEND_RESPONSE)
 # Time for the answers to requests that are still open when the grace ends.
 LAST_ANSWERS_S = 0.2
 
@@ -139,8 +141,7 @@
     try:
         request = await _read_head(server, http, connection)
     except _HeadRefused as refused:
-        response = problems.make_problem(refused.error)
-        await asgi.send_response(current.send, response)
+        await _answer(http, current, refused.error)
         return await _end_exchange(http, connection)
     if request is None:
         return False
@@ -151,14 +152,16 @@
                 _make_scope(request), current.receive, current.send
             )
         if time_limit.cancelled_caught:
-            await _answer_failure(http, current, STOPPING)
+            await _answer(http, current, exceptions.OutcomeUnknown(*STOPPING))
+        elif http.their_state is h11.ERROR:
+            await _answer(http, current, exceptions.NotRun(*BAD_HTTP, 400))
     except asgi.CallerGone:
         raise
-    except asgi.AnswerCut:
-        await _answer_failure(http, current, INTERNAL_ERROR)
-    except Exception:
-        logging.exception("callers: serving a request failed")
-        await _answer_failure(http, current, INTERNAL_ERROR)
+    except Exception as error:
+        if not isinstance(error, asgi.AnswerCut):
+            logging.exception("callers: serving a request failed")
+        failure = exceptions.OutcomeUnknown(*INTERNAL_ERROR)
+        await _answer(http, current, failure)
     return await _end_exchange(http, connection)
 
 
@@ -185,13 +188,15 @@
     return False
 
 
-async def _answer_failure(
-    http: h11.Connection, current: exchange.Exchange, cause: tuple[str, str]
+async def _answer(
+    http: h11.Connection,
+    current: exchange.Exchange,
+    error: exceptions.NotRun | exceptions.OutcomeUnknown,
 ) -> None:
-    """Answer a request that the entry fails to serve, if it has no answer."""
-    if current.has_begun or http.our_state is not h11.SEND_RESPONSE:
+    """Answer with an error and close, if there is no answer yet."""
+    if current.has_begun or http.our_state not in ANSWERABLE:
         return
-    response = problems.make_problem(exceptions.OutcomeUnknown(*cause))
+    response = problems.make_problem(error)
     response.headers["connection"] = "close"
     await asgi.send_response(current.send, response)
 
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server: which requests it answers in which state."""
 
+import contextlib
 import socket
 
 import pytest
@@ -112,6 +113,19 @@
         assert answer.endswith(b"\r\n\r\nwhole")
 
 
+class TestBody:
+    def test_body_that_is_no_http_is_refused(self):
+        async def app(scope, receive, send):
+            with contextlib.suppress(asgi.CallerGone):
+                await asgi.read_body(receive, 99)
+
+        head = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked"
+        answer = run_ask(app, head + b"\r\n\r\nzz\r\n")
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b'"code":"bad_http"' in answer
+        assert b'"outcome":"not run"' in answer
+
+
 class TestHead:
     def test_response_to_head_has_no_body_and_the_next_one_follows(self):
         async def app(scope, receive, send):
