--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -5,8 +5,10 @@
 head with a ``problem+json`` that names the cause.
 """
 
+from collections import abc
+import contextlib
 import dataclasses
-import typing as t
+import math
 import urllib.parse
 
 from absl import logging
@@ -14,13 +16,14 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.callers import exchange
 from sycamorespool.callers import problems
 from sycamorespool import exceptions
 from sycamorespool import settings
 from sycamorespool import sockets
 
-# Bytes of following requests that are read during an answer.
-MAX_PIPELINED_BYTES = 16 * 1024
+# Time to accept the connections that are waiting when the server stops.
+LAST_ACCEPTS_S = 0.05
 # Limits of reading what a caller still sends after its answer.
 LINGER_S = 1.0
 LINGER_BYTES = 4 * 1024 * 1024
@@ -28,21 +31,38 @@
     431: ("head_too_large", "the request head is too long"),
     501: ("bad_http", "the transfer encoding is not supported"),
 }
+NO_TUNNELS = ("bad_http", "the method CONNECT is not supported", 501)
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
+INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
+STOPPING = ("stopping", "the entry stopped before the request was answered")
+# States of a connection in which a response may begin.
+ANSWERABLE = (h11.IDLE, h11.SEND_RESPONSE)
+# Time for the answers to requests that are still open when the grace ends.
+LAST_ANSWERS_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
 class _Server:
     """Holds the state that the connections share.
 
-    ``idle`` holds the cancel scopes of the connections without a request.
+    ``idle`` holds the cancel scopes of the connections without a request,
+    and ``open`` those of the requests that are being served.  They may last
+    until ``end_s``.  Once ``is_leaving``, callers are told to open new
+    connections, which reach other processes.
     """
 
     app: asgi.App
     limits: settings.LimitsSection
     idle: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    open: set[trio.CancelScope] = dataclasses.field(default_factory=set)
+    end_s: float = math.inf
+    is_leaving: abc.Callable[[], bool] = lambda: False
     is_stopping: bool = False
 
+    def is_closing(self) -> bool:
+        """Tell whether connections close after their next answer."""
+        return self.is_stopping or self.is_leaving()
+
 
 class _HeadRefused(Exception):
     """Raised when a request head is not valid, or over a limit."""
@@ -52,108 +72,6 @@
         self.error = exceptions.NotRun(code, detail, status)
 
 
-class _Exchange:
-    """Holds one request and its response on a connection.
-
-    ``receive`` and ``send`` are those of ASGI.  The head of a response is
-    sent together with the first part of its body, and its end together with
-    the last part.
-    """
-
-    def __init__(
-        self, http: h11.Connection, connection: sockets.Connection
-    ) -> None:
-        self._http = http
-        self._connection = connection
-        self._head: h11.Response | None = None
-        self._is_body_read = False
-        self._is_chunked = False
-        self._pipelined_bytes = 0
-
-    async def receive(self) -> dict[str, t.Any]:
-        """Return the next part of the body, or the caller's disconnection."""
-        if self._is_body_read:
-            await self._wait_for_disconnect()
-            return {"type": "http.disconnect"}
-        try:
-            event = await _next_event(self._http, self._connection)
-        except (OSError, h11.RemoteProtocolError):
-            return {"type": "http.disconnect"}
-        if isinstance(event, h11.Data):
-            return {
-                "type": "http.request",
-                "body": bytes(event.data),
-                "more_body": True,
-            }
-        self._is_body_read = True
-        return {"type": "http.request", "body": b"", "more_body": False}
-
-    async def _wait_for_disconnect(self) -> None:
-        while True:
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-                await trio.sleep_forever()
-            try:
-                data = await self._connection.receive()
-            except (OSError, trio.ClosedResourceError):
-                return
-            self._http.receive_data(data)
-            self._pipelined_bytes += len(data)
-            if not data:
-                return
-
-    async def send(self, message: dict[str, t.Any]) -> None:
-        """Send a part of the response.
-
-        Raises
-        ------
-        CallerGone
-            If the connection is broken.
-        """
-        if message["type"] == "http.response.start":
-            self._head = h11.Response(
-                status_code=message["status"], headers=message["headers"]
-            )
-            return
-        try:
-            await self._connection.send(self._encode_body(message))
-        except OSError as error:
-            raise asgi.CallerGone from error
-
-    def _encode_body(self, message: dict[str, t.Any]) -> bytes:
-        body = message.get("body", b"")
-        is_last = not message.get("more_body", False)
-        if self._is_chunked and body and not is_last:
-            # The same bytes as h11 returns for a chunk, without the cost of
-            # its checks, which the first chunk has passed.
-            return b"%x\r\n%b\r\n" % (len(body), body)
-        parts = []
-        if self._head is not None:
-            parts.append(self._http.send(self._head))
-            self._head = None
-        if body:
-            encoded = self._http.send(h11.Data(data=body))
-            self._is_chunked = encoded != body
-            parts.append(encoded)
-        if is_last:
-            parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(parts)
-
-
-async def _next_event(
-    http: h11.Connection, connection: sockets.Connection
-) -> t.Any:
-    while True:
-        event = http.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        if http.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            await connection.send(http.send(continue_response))
-        http.receive_data(await connection.receive())
-
-
 def _make_scope(request: h11.Request) -> asgi.Scope:
     path, _, query = request.target.partition(b"?")
     return {
@@ -183,20 +101,20 @@
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> h11.Request | None:
     limits = server.limits
-    with trio.CancelScope() as idle:
-        idle.deadline = trio.current_time() + limits.keep_alive_timeout_s
+    wait_s = 0.0 if server.is_stopping else limits.keep_alive_timeout_s
+    with trio.move_on_after(wait_s) as idle:
         server.idle.add(idle)
         try:
             if not http.trailing_data[0]:
                 http.receive_data(await connection.receive())
         finally:
             server.idle.discard(idle)
-    if idle.cancelled_caught:
+    if idle.cancelled_caught and connection.is_idle():
         return None
     event = None
     try:
         with trio.move_on_after(limits.head_timeout_s):
-            event = await _next_event(http, connection)
+            event = await exchange.next_event(http, connection)
     except h11.RemoteProtocolError as error:
         status = error.error_status_hint
         raise _HeadRefused(
@@ -209,6 +127,8 @@
         raise _HeadRefused("head_timeout", detail, 408)
     if not isinstance(event, h11.Request):
         return None
+    if event.method == b"CONNECT":
+        raise _HeadRefused(*NO_TUNNELS)
     _check_size(event, limits.max_head_bytes)
     return event
 
@@ -217,23 +137,70 @@
     server: _Server, http: h11.Connection, connection: sockets.Connection
 ) -> bool:
     """Serve one request; return whether another one may follow."""
-    exchange = _Exchange(http, connection)
+    current = exchange.Exchange(http, connection, server.is_closing)
     try:
         request = await _read_head(server, http, connection)
-        if request is None:
-            return False
-        await server.app(_make_scope(request), exchange.receive, exchange.send)
     except _HeadRefused as refused:
-        response = problems.make_problem(refused.error)
-        await asgi.send_response(exchange.send, response)
+        await _answer(http, current, refused.error)
+        return await _end_exchange(http, connection)
+    if request is None:
+        return False
+    current.is_head = request.method == b"HEAD"
+    try:
+        with _limit_time(server) as time_limit:
+            await server.app(
+                _make_scope(request), current.receive, current.send
+            )
+        if time_limit.cancelled_caught:
+            await _answer(http, current, exceptions.OutcomeUnknown(*STOPPING))
+        elif http.their_state is h11.ERROR:
+            await _answer(http, current, exceptions.NotRun(*BAD_HTTP, 400))
+    except asgi.CallerGone:
+        raise
+    except Exception as error:
+        if not isinstance(error, asgi.AnswerCut):
+            logging.exception("callers: serving a request failed")
+        failure = exceptions.OutcomeUnknown(*INTERNAL_ERROR)
+        await _answer(http, current, failure)
+    return await _end_exchange(http, connection)
+
+
+@contextlib.contextmanager
+def _limit_time(server: _Server) -> abc.Iterator[trio.CancelScope]:
+    """Cancel a request that is still open when the server has to end."""
+    with trio.CancelScope(deadline=server.end_s) as scope:
+        server.open.add(scope)
+        try:
+            yield scope
+        finally:
+            server.open.discard(scope)
+
+
+async def _end_exchange(
+    http: h11.Connection, connection: sockets.Connection
+) -> bool:
+    """End an exchange; return whether another one may follow."""
     if http.our_state is h11.DONE and http.their_state is h11.DONE:
         http.start_next_cycle()
-        return not server.is_stopping
+        return True
     if http.our_state in (h11.DONE, h11.MUST_CLOSE):
         await _linger(connection)
     return False
 
 
+async def _answer(
+    http: h11.Connection,
+    current: exchange.Exchange,
+    error: exceptions.NotRun | exceptions.OutcomeUnknown,
+) -> None:
+    """Answer with an error and close, if there is no answer yet."""
+    if current.has_begun or http.our_state not in ANSWERABLE:
+        return
+    response = problems.make_problem(error)
+    response.headers["connection"] = "close"
+    await asgi.send_response(current.send, response)
+
+
 async def _linger(connection: sockets.Connection) -> None:
     # Closing a connection with unread bytes resets it, and the caller could
     # lose the answer, so the rest is read and dropped.
@@ -270,26 +237,34 @@
     limits: settings.LimitsSection,
     stop: trio.Event,
     grace_s: float = 3.0,
+    is_leaving: abc.Callable[[], bool] = lambda: False,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application at ``IP:port`` until ``stop`` is set.
 
-    After that, open requests have ``grace_s`` seconds to end.  The task
-    status is the address that was bound.
+    After that, open requests have ``grace_s`` seconds to end.  Those that
+    have no answer by then get a 502.  From when ``is_leaving`` returns true,
+    also before the stop, each connection closes after its next answer, which
+    says so.  The task status is the address that was bound.
     """
-    server = _Server(app, limits)
+    server = _Server(app, limits, is_leaving=is_leaving)
     listener = sockets.Listener(address)
     async with trio.open_nursery() as nursery:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(_accept, server, listener, nursery)
             task_status.started(listener.address)
             await stop.wait()
+            server.end_s = trio.current_time() + grace_s
+            # Closing the listener resets the connections that wait for it.
+            await trio.sleep(LAST_ACCEPTS_S)
             accepting.cancel_scope.cancel()
         listener.close()
         server.is_stopping = True
         for idle in server.idle:
             idle.cancel()
-        nursery.cancel_scope.deadline = trio.current_time() + grace_s
+        for scope in server.open:
+            scope.deadline = server.end_s
+        nursery.cancel_scope.deadline = server.end_s + LAST_ANSWERS_S
 
 
 async def _accept(
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -1,8 +1,12 @@
 """Runs an entry on a hosted platform: assembles its parts and stops them."""
 
+from collections import abc
+import functools
 import pathlib
 import signal
+import typing as t
 
+from absl import logging
 import trio
 
 from sycamorespool import asgi
@@ -26,9 +30,11 @@
 # The load balancer probes an entry once a second and removes it after two
 # failed probes.
 BALANCER_DELAY_S = 2.3
-# Part of ``bounds.stop_s`` that is left for closing connections and exiting.
-EXIT_RESERVE_S = 0.8
+# Part of ``bounds.stop_s`` that is left for the last answers and exiting.
+EXIT_RESERVE_S = 0.4
 SETTINGS_CHECK_PERIOD_S = 1.0
+# Pause before a task that failed is run again.
+RESTART_PAUSE_S = 1.0
 
 log = logs.make_logger("entry")
 
@@ -48,22 +54,35 @@
 async def _stop_on_signal(
     context: entry_context.EntryContext, stop: trio.Event
 ) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
+    """Stop the entry at the first signal; those that follow change nothing."""
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for _ in signals:
+                if not context.is_stopping:
+                    context.is_stopping = True
+                    nursery.start_soon(
+                        _keep_running, partition_share.release, context
+                    )
+                    nursery.start_soon(_drain, context, stop)
+
+
+async def _drain(
+    context: entry_context.EntryContext, stop: trio.Event
+) -> None:
     log.info(
         "stopping, open requests are finished",
         open=context.requests_open,
     )
-    context.is_stopping = True
-    limit_s = context.settings.bounds.stop_s - EXIT_RESERVE_S
-    with trio.move_on_after(limit_s):
-        await partition_share.release(context)
+    with trio.move_on_after(_find_grace_s(context)):
         await trio.sleep(BALANCER_DELAY_S)
-        stop.set()
-        await context.wait_until_idle()
     stop.set()
-    log.info("stopped", open=context.requests_open)
+
+
+def _find_grace_s(context: entry_context.EntryContext) -> float:
+    """Return the time from a stop signal in which requests may end."""
+    return max(0.0, context.settings.bounds.stop_s - EXIT_RESERVE_S)
 
 
 def _reload(context: entry_context.EntryContext, path: str) -> None:
@@ -90,10 +109,12 @@
 
 
 async def _reload_on_change(
-    context: entry_context.EntryContext, path: str
+    context: entry_context.EntryContext, path: str, changed_ns: int
 ) -> None:
-    """Reload the settings when their file changes, also without SIGHUP."""
-    changed_ns = _read_mtime_ns(path)
+    """Reload the settings when their file changes, also without SIGHUP.
+
+    ``changed_ns`` is when the file had changed before it was loaded.
+    """
     while True:
         await trio.sleep(SETTINGS_CHECK_PERIOD_S)
         found_ns = _read_mtime_ns(path)
@@ -110,6 +131,23 @@
         return 0
 
 
+async def _keep_running(
+    run_task: abc.Callable[..., abc.Awaitable[t.Any]], *args: t.Any
+) -> None:
+    """Run a task of the entry; run it again if it fails.
+
+    An error in one task does not end the process, which would close the
+    connections of all callers.
+    """
+    while True:
+        try:
+            await run_task(*args)
+            return
+        except Exception:
+            logging.exception("entry: a task failed, it is run again")
+        await trio.sleep(RESTART_PAUSE_S)
+
+
 async def run(path: str) -> None:
     """Run an entry with the settings of a file until a signal stops it.
 
@@ -118,20 +156,22 @@
     SettingsError
         If the file cannot be read or has invalid settings.
     """
+    changed_ns = _read_mtime_ns(path)
     loaded = node_settings.load(path)
     context = entry_context.make_context(loaded)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         start = nursery.start_soon
-        start(_reload_on_signal, context, path)
-        start(_reload_on_change, context, path)
-        start(config_follower.run, context)
-        start(registry_follower.run, context)
-        start(entry_announcements.run, context)
-        start(partition_share.hold, context)
-        start(domain_owner.run, context)
-        start(stall_detection.watch, context)
-        start(server_ends.run, context)
+        start_kept = functools.partial(start, _keep_running)
+        start_kept(_reload_on_signal, context, path)
+        start_kept(_reload_on_change, context, path, changed_ns)
+        start_kept(config_follower.run, context)
+        start_kept(registry_follower.run, context)
+        start_kept(entry_announcements.run, context)
+        start_kept(partition_share.hold, context)
+        start_kept(domain_owner.run, context)
+        start_kept(stall_detection.watch, context)
+        start_kept(server_ends.run, context)
         for app, address in (
             (_make_readiness_app(context), loaded.listen.readiness),
             (metrics_page.make_app(context), loaded.listen.metrics),
@@ -150,7 +190,9 @@
             loaded.listen.callers,
             loaded.limits,
             stop,
-            grace_s=loaded.bounds.stop_s,
+            grace_s=max(0.0, _find_grace_s(context) - BALANCER_DELAY_S),
+            is_leaving=lambda: context.is_stopping,
         )
+        log.info("stopped", open=context.requests_open)
         nursery.cancel_scope.cancel()
     log.info("ended", name=context.name)
--- /dev/null
+++ b/tests/hosted/test_stopping.py
@@ -0,0 +1,229 @@
+"""Tests that signals do not end a caller's request without an answer."""
+
+import copy
+import os
+import re
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from sycamorespool import hosted
+from sycamorespool import sockets
+from sycamorespool.standins import hosted_engine
+from tests.hosted import fleet as fleets
+from tests.hosted import raw_server
+
+SLOW_S = 1.2
+SIGNAL_PAUSE_S = 0.2
+STOP_SLACK_S = 0.7
+STOP_S = 8.0
+SHORT_STOP_S = 4.0
+# Longer than any request here lasts.
+TIMEOUT_S = 20.0
+CONNECT = (
+    f"CONNECT /stock/1 HTTP/1.1\r\nhost: {fleets.HOST}\r\n"
+    f"authorization: Bearer {fleets.KEY}\r\n"
+    "sycamorespool-attempt-id: a2\r\ncontent-length: 0\r\n\r\n"
+).encode()
+TASK_FAILED = "a task failed"
+
+
+def start_process(path):
+    """Start an entry whose log is written next to its settings."""
+    python_path = {"PYTHONPATH": os.pathsep.join(sys.path)}
+    with path.with_suffix(".log").open("wb") as log_file:
+        return subprocess.Popen(
+            [sys.executable, "-m", "sycamorespool", "hosted", path],
+            stdout=log_file,
+            stderr=log_file,
+            env={**os.environ, **python_path},
+        )
+
+
+class ProcessFleet(fleets.HostedFleet):
+    """The stand-ins of the store and of plain servers, and an entry process.
+
+    The settings are those of :class:`HostedFleet`, but for the time to stop.
+    """
+
+    async def start(self, stop_s):
+        self.config = copy.deepcopy(fleets.CONFIG)
+        for route in self.config["routes"]:
+            route["timeout_ms"] = 1000 * TIMEOUT_S
+        text = self.path.read_text()
+        self.path.write_text(re.sub("stop_s = .*", f"stop_s = {stop_s}", text))
+        app = fleets.asgi_server.asgi.make_app(self.store.handle)
+        await self.serve(app, self.store_address)
+        self.store.put("keyed.op", "config", self.config)
+        await self.add("p-0", "ledger")
+        self.popen = start_process(self.path)
+        await self.wait_for(self.is_ready)
+
+    def close(self):
+        self.popen.kill()
+        self.popen.wait()
+        print(self.path.with_suffix(".log").read_text(errors="replace"))
+
+    async def has_run(self):
+        return bool(self.servers[0].runs)
+
+    async def refuses_connections(self):
+        try:
+            connection = await sockets.connect(self.callers)
+        except ConnectionRefusedError:
+            return True
+        connection.close()
+        return False
+
+    async def has_failed(self):
+        return TASK_FAILED in self.path.with_suffix(".log").read_text()
+
+    async def has_ended(self):
+        return self.popen.poll() is not None
+
+
+@pytest.fixture
+def run_process(tmp_path):
+    """Return a function that runs a scenario with an entry process."""
+
+    def run(scenario, stop_s=STOP_S):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                fleet = ProcessFleet(nursery, tmp_path)
+                try:
+                    await fleet.start(stop_s)
+                    await scenario(fleet)
+                finally:
+                    fleet.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
+
+
+async def send_signals(fleet, *numbers):
+    """Send signals during the first run, and change the configuration."""
+    await fleet.wait_for(fleet.has_run)
+    for number in numbers:
+        fleet.popen.send_signal(number)
+        fleet.config["version"] += 1
+        fleet.store.put("keyed.op", "config", fleet.config)
+        await trio.sleep(SIGNAL_PAUSE_S)
+
+
+class TestSignals:
+    @pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGINT])
+    def test_second_signal_does_not_end_open_requests(
+        self, run_process, second
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(
+                send_signals, fleet, signal.SIGTERM, signal.SIGHUP, second
+            )
+            answer = await fleet.ask("/orders/1")
+            assert answer.status == 200
+            await fleet.wait_for(fleet.has_ended)
+            assert fleet.popen.returncode == 0
+
+        run_process(scenario)
+
+
+class TestDrain:
+    def test_slow_store_does_not_lengthen_the_time_for_new_connections(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.store.slow_s = 9.0
+            fleet.popen.send_signal(signal.SIGTERM)
+            with trio.fail_after(hosted.BALANCER_DELAY_S + STOP_SLACK_S):
+                await fleet.wait_for(fleet.refuses_connections)
+
+        run_process(scenario)
+
+    def test_answer_to_an_earlier_request_announces_the_close(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(send_signals, fleet, signal.SIGTERM)
+            answer = await fleet.ask("/orders/1")
+            assert answer.headers.get("connection") == "close"
+
+        run_process(scenario)
+
+    def test_request_still_open_at_the_end_is_answered_before_the_kill(
+        self, run_process
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].faults.append("mute")
+            fleet.nursery.start_soon(send_signals, fleet, signal.SIGTERM)
+            with trio.fail_after(SHORT_STOP_S):
+                answer = await fleet.ask("/orders/1")
+                await fleet.wait_for(fleet.has_ended)
+            assert answer.status == 502
+            assert b'"code":"stopping"' in answer.body
+            assert fleet.popen.returncode == 0
+
+        run_process(scenario, stop_s=SHORT_STOP_S)
+
+
+class TestTasks:
+    def test_failing_task_does_not_end_open_requests(self, run_process):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = SLOW_S
+            fleet.nursery.start_soon(add_unusable_engine, fleet)
+            assert (await fleet.ask("/orders/1")).status == 200
+            assert (await fleet.ask("/orders/1")).status == 200
+            assert not await fleet.has_ended()
+
+        run_process(scenario)
+
+    def test_failed_task_is_run_again(self, run_process):
+        async def scenario(fleet):
+            fleet.nursery.start_soon(fleet.ask, "/orders/1")
+            engine = await add_unusable_engine(fleet)
+            await fleet.wait_for(fleet.has_failed)
+            engine.remove_record()
+            for number in (1, 2):
+                await fleet.add(f"i-{number}", "assistant", "d")
+            await fleet.wait_for(fleet.has_open_heads)
+
+        run_process(scenario)
+
+
+class TestTunnels:
+    def test_connect_request_does_not_hang_the_entry(self, run_process):
+        async def scenario(fleet):
+            odd = raw_server.RawServer(fleet.nursery, [raw_server.send(b"x")])
+            await odd.start()
+            odd.write_record(fleet.store, "p-9", "ledger")
+            fleet.servers[0].remove_record()
+
+            async def is_served():
+                answer = await fleet.ask("/stock/1", "GET")
+                return answer.status == 200 and odd.heads
+
+            await fleet.wait_for(is_served)
+            connection = await sockets.connect(fleet.callers)
+            await connection.send(CONNECT)
+            with trio.fail_after(STOP_S):
+                assert await connection.receive()
+                await fleet.wait_for(is_served)
+            connection.close()
+
+        run_process(scenario)
+
+
+async def add_unusable_engine(fleet):
+    """Register an engine whose port is out of range, during the first run."""
+    await fleet.wait_for(fleet.has_run)
+    engine = hosted_engine.HostedEngine(
+        fleet.store, "i-0", "assistant", "127.0.0.1:99999", "d"
+    )
+    engine.write_record()
+    return engine
