Add failing tests of groups that end while a VM is silent

On the owner of a domain orders `leave` 1.2 to 1.6 s into the silence of a member or head whose process stands still (simulation with heartbeats of 1.2 s), and 0.91 s into it without heartbeats.

--- a/tests/decisions/engine_simulation.py
+++ b/tests/decisions/engine_simulation.py
@@ -44,6 +44,7 @@
     misses: int = 0
     report: backends.Report | None = None
     report_s: float = float("-inf")
+    hung_until_s: float = float("-inf")
 
 
 @dataclasses.dataclass
@@ -80,6 +81,13 @@
     def kill(self, vm_id: str) -> None:
         self.vms[vm_id].is_alive = False
 
+    def hang(self, vm_id: str, silence_s: float) -> None:
+        """Let a VM accept connections for a while, and do nothing else."""
+        self.vms[vm_id].hung_until_s = self.now_s + silence_s
+
+    def is_hung(self, vm: SimulatedVm) -> bool:
+        return vm.is_alive and self.now_s < vm.hung_until_s
+
     def restart(self, vm_id: str) -> None:
         old = self.vms[vm_id]
         self.vms[vm_id] = SimulatedVm(
@@ -93,7 +101,7 @@
         """Advance time: finish loads, break heads, deliver delayed orders."""
         self.now_s += dt_s
         for vm in self.vms.values():
-            if vm.is_alive:
+            if vm.is_alive and not self.is_hung(vm):
                 vm.last_heartbeat_s = self.now_s - self.now_s % HEARTBEAT_S
                 self._finish_join(vm)
             if vm.staging_s and self.now_s >= vm.staging_s:
@@ -150,10 +158,18 @@
                 self._set_state(vm, STATES.BROKEN)
 
     def send(self, order: backends.Order, fence: int, expected: int) -> None:
-        """Execute an order at once, or later at the given loss rate."""
-        if self.random.random() < self.loss_rate:
-            due_s = self.now_s + self.random.uniform(1.0, 6.0)
-            born_ms = self.vms[order.backend_id].born_ms
+        """Execute an order at once, or later at the given loss rate.
+
+        A hung VM executes it as soon as it goes on.
+        """
+        vm = self.vms[order.backend_id]
+        is_delayed = self.random.random() < self.loss_rate
+        if is_delayed or self.is_hung(vm):
+            due_s = vm.hung_until_s
+            if is_delayed:
+                due_s = self.now_s + self.random.uniform(1.0, 6.0)
+            due_s = max(due_s, vm.hung_until_s)
+            born_ms = vm.born_ms
             self.delayed_orders.append(
                 (due_s, born_ms, fence, order, expected)
             )
@@ -243,7 +259,7 @@
     def probe(self, cut: frozenset[str] = frozenset()) -> None:
         """Request the report of every engine that is not cut off."""
         for vm in self.vms.values():
-            if not vm.is_alive or vm.vm_id in cut:
+            if not vm.is_alive or vm.vm_id in cut or self.is_hung(vm):
                 vm.misses += 1
                 vm.missing_s = min(vm.missing_s, self.now_s)
                 continue
--- a/tests/decisions/test_domain_planner.py
+++ b/tests/decisions/test_domain_planner.py
@@ -1,6 +1,7 @@
 """Tests of the planner of group orders, on simulated engines."""
 
 import dataclasses
+import math
 import random
 
 import pytest
@@ -10,6 +11,15 @@
 from sycamorespool.decisions import domain_view
 from tests.decisions import engine_simulation
 
+STEP_S = 0.1
+SILENCE_S = 1.5
+# Time from a loss to the order that ends its group, by the time from the
+# last heartbeat to the loss.
+END_S = {0.0: 1.6, 0.4: 1.2, 0.8: 0.8, 1.1: 0.5}
+# Time from the first missed report to the end of a group with a hung VM.
+HUNG_LIMIT_S = 2.5
+ENDS = (backends.OrderKind.LEAVE, backends.OrderKind.CLOSE)
+
 
 def make_simulation(
     count: int = 4, staged: str = "big", seed: int = 1
@@ -43,6 +53,43 @@
     return group
 
 
+def find_member(
+    simulation: engine_simulation.EngineSimulation, group: str, rank: int
+) -> str:
+    return simulation.rosters[group, int(group.rpartition("@")[2])][rank]
+
+
+def wait_for_end(
+    simulation: engine_simulation.EngineSimulation,
+    memory: domain_view.PlannerMemory,
+    limit_s: float = 10.0,
+) -> float:
+    """Return after how long the owner orders a group to end."""
+    began_s = simulation.now_s
+    while simulation.now_s - began_s < limit_s:
+        simulation.step(STEP_S)
+        simulation.probe()
+        made = simulation.run_owner(1, memory, [])
+        if any(order.kind in ENDS for order in made.orders):
+            return simulation.now_s - began_s
+    return math.inf
+
+
+def form_aged(
+    rank: int, heartbeat_age_s: float = 0.4
+) -> tuple[engine_simulation.EngineSimulation, domain_view.PlannerMemory, str]:
+    """Return an open group, some time after a heartbeat, and a member."""
+    simulation, memory = make_simulation(5), domain_view.PlannerMemory()
+    group = form_big(simulation, memory)
+    heartbeat_s = engine_simulation.HEARTBEAT_S
+    beats = math.floor(simulation.now_s / heartbeat_s) + 1
+    aged_s = beats * heartbeat_s + heartbeat_age_s + 0.01
+    simulation.step(aged_s - simulation.now_s)
+    simulation.probe()
+    assert not simulation.run_owner(1, memory, []).orders
+    return simulation, memory, find_member(simulation, group, rank)
+
+
 class TestFormation:
     def test_group_opens_once_all_members_are_ready(self):
         simulation, memory = make_simulation(), domain_view.PlannerMemory()
@@ -217,6 +264,50 @@
         assert not simulation.open_groups()
 
 
+@pytest.mark.parametrize("rank", [0, 1])
+class TestHungVm:
+    def test_group_is_not_ended_at_a_vm_that_is_hung_and_goes_on(self, rank):
+        for heartbeat_age_s in END_S:
+            simulation, memory, vm_id = form_aged(rank, heartbeat_age_s)
+            groups = simulation.open_groups()
+            simulation.hang(vm_id, SILENCE_S)
+            assert wait_for_end(simulation, memory, 8.0) == math.inf
+            assert simulation.open_groups() == groups
+
+    def test_group_of_a_vm_that_stays_hung_is_ended_at_the_limit(self, rank):
+        for heartbeat_age_s in END_S:
+            simulation, memory, vm_id = form_aged(rank, heartbeat_age_s)
+            simulation.hang(vm_id, math.inf)
+            end_s = wait_for_end(simulation, memory)
+            assert HUNG_LIMIT_S <= end_s <= HUNG_LIMIT_S + 2 * STEP_S
+
+    @pytest.mark.parametrize("heartbeat_age_s", END_S)
+    def test_group_of_a_lost_vm_is_ended_as_early_as_without_hung_vms(
+        self, rank, heartbeat_age_s
+    ):
+        simulation, memory, vm_id = form_aged(rank, heartbeat_age_s)
+        simulation.kill(vm_id)
+        end_s = wait_for_end(simulation, memory)
+        assert end_s == pytest.approx(END_S[heartbeat_age_s])
+
+    def test_group_of_a_vm_lost_while_hung_is_ended_at_once(self, rank):
+        simulation, memory, vm_id = form_aged(rank)
+        simulation.hang(vm_id, math.inf)
+        assert wait_for_end(simulation, memory, 2.0) == math.inf
+        simulation.kill(vm_id)
+        assert wait_for_end(simulation, memory) <= 2 * STEP_S
+
+    def test_hung_vm_gets_no_orders(self, rank):
+        simulation, memory, vm_id = form_aged(rank)
+        simulation.hang(vm_id, math.inf)
+        assert wait_for_end(simulation, memory, 2.0) == math.inf
+        (group,) = simulation.open_groups()
+        simulation.vms[find_member(simulation, group, 2)].is_draining = True
+        simulation.probe()
+        made = simulation.run_owner(1, memory, [])
+        assert vm_id not in {order.backend_id for order in made.orders}
+
+
 class TestOwners:
     def test_orders_of_a_former_owner_are_fenced(self):
         simulation, memory = make_simulation(5), domain_view.PlannerMemory()
@@ -254,6 +345,8 @@
         vm.is_draining = not vm.is_draining
     elif choice < 0.8:
         cut.symmetric_difference_update({vm.vm_id})
+    elif choice < 0.95:
+        simulation.hang(vm.vm_id, simulation.random.uniform(0.5, 6.0))
 
 
 @pytest.mark.parametrize("seed", range(40))
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -1,16 +1,26 @@
 """Tests of the reports of the VMs in an owner's domains."""
 
+import contextlib
 import math
+import socket
 import types
 
 import pytest
+import trio
 
 from sycamorespool import backends
+from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
+from sycamorespool import http_client
 from sycamorespool import vm_watch
 
 HEARTBEAT_S = 1.2
+# Time until a report counts as missed, and until a hung VM counts as lost.
+MISS_S = 0.45
+HUNG_LIMIT_S = 2.5
+PROBE_STEP_S = 0.01
+SLACK_S = 0.3
 SETTLED = ("open", 0), ("ready", 1)
 CHANGING = ("ready", 0), ("joining", 1), ("closing", 0), ("broken", 0)
 
@@ -118,3 +128,84 @@
             2, False, 0, 0, membership=member
         )
         assert view(watch).membership == member
+
+
+@contextlib.contextmanager
+def listen_hung():
+    """Listen as a process that stands still does, and accept nothing."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        yield server.getsockname()
+
+
+@contextlib.contextmanager
+def listen_out_of_reach():
+    """Leave new connections unanswered, as a VM that is cut off does."""
+    with contextlib.ExitStack() as stack:
+        server = socket.create_server(("127.0.0.1", 0), backlog=0)
+        stack.enter_context(server)
+        for _ in range(4):
+            client = stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(server.getsockname())
+        yield server.getsockname()
+
+
+@contextlib.contextmanager
+def listen_ended():
+    """Refuse connections, as after the end of a process."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        name = server.getsockname()
+    yield name
+
+
+class ProbedVm:
+    """Probes a VM without heartbeats, and notes when it counts as lost."""
+
+    def __init__(self, nursery, name):
+        context = make_context()
+        context.engine_pool = http_client.make_pool()
+        address = f"{name[0]}:{name[1]}"
+        self.backend = backends.Backend("a", "s", address, "dc", 1, False)
+        self.watch = vm_watch.VmWatch(context, nursery)
+
+    def is_lost(self):
+        vm = vm_watch.view_vm(self.watch, self.backend, True)
+        view = domain_view.DomainView(
+            1, trio.current_time(), {"a": vm}, None, 1.0, HEARTBEAT_S
+        )
+        return domain_view.is_lost(vm, view)
+
+    async def wait_for_loss(self, limit_s):
+        """Return after how long it counts as lost."""
+        began_s = trio.current_time()
+        while trio.current_time() - began_s < limit_s:
+            vm_watch.start_probes(self.watch, [self.backend])
+            await trio.sleep(PROBE_STEP_S)
+            if self.is_lost():
+                return trio.current_time() - began_s
+        return math.inf
+
+
+def time_loss(listen, limit_s=5.0):
+    async def main():
+        with listen() as name:
+            async with trio.open_nursery() as nursery:
+                lost_s = await ProbedVm(nursery, name).wait_for_loss(limit_s)
+                nursery.cancel_scope.cancel()
+        return lost_s
+
+    return trio.run(main)
+
+
+class TestLoss:
+    def test_hung_vm_is_not_taken_for_lost_at_two_missed_reports(self):
+        assert time_loss(listen_hung, 1.5) == math.inf
+
+    def test_vm_that_stays_hung_counts_as_lost_at_the_limit(self):
+        assert HUNG_LIMIT_S <= time_loss(listen_hung) < HUNG_LIMIT_S + SLACK_S
+
+    def test_vm_out_of_reach_counts_as_lost_as_early_as_without_hung_vms(self):
+        assert time_loss(listen_out_of_reach) < 2 * MISS_S + SLACK_S
+
+    def test_ended_vm_counts_as_lost_as_early_as_without_hung_vms(self):
+        assert time_loss(listen_ended) < SLACK_S
