Keep groups whose VM accepts connections while it is silent

Callers lost answers that lived: a server fell silent for a second or so, and its group was ended under them.

Cause: two missed reports and a late heartbeat made a VM lost, so the owner of the domain sent `leave` to the head, or to the members of a silent head. A process that stands still cannot be told from a lost VM by these.

Why it works: after a report that got no answer in time, the owner tries a new connection. The system of a VM accepts it for a process that stands still, refuses it after the end of the process, and a VM that is gone or cut off leaves it unanswered. A silent VM that accepts is lost only 2.5 s after its first missed report; all others as early as before, as the outcome is known before the next miss and counts only if the connection was accepted. A report that fails otherwise (refused, reset, wrong answer) is never taken for a hang. As before, a VM that is silent gets no orders, lost or not.

Weighed: a longer silence for all VMs (real losses are noticed later); the phase in which a report on a new connection fails (connecting and reading share one timeout, and the pool may use a kept connection); waiting for the head to report its group as broken (later than today by the stall time, and no help for a silent head).

Ruled out: `_is_usable`, `_is_confirmed_ready` and `_has_head_left` look at misses, which are unchanged; `review_losses` goes on planning often until a hung VM is lost or answers.

--- a/src/sycamorespool/decisions/domain_view.py
+++ b/src/sycamorespool/decisions/domain_view.py
@@ -17,6 +17,9 @@
 # it is registered, this many heartbeat periods without a heartbeat.
 MISSES_BEFORE_LOST = 2
 HEARTBEATS_BEFORE_LOST = 1.3
+# A VM that accepts connections but sends nothing may only stand still for a
+# while; it counts as lost this long after its first missing report.
+HUNG_BEFORE_LOST_S = 2.5
 # Older reports are not trusted when a group is opened or a VM is used.
 REPORT_MAX_AGE_S = 2.0
 # Reports show the effect of an order late, so an order is not sent again
@@ -70,6 +73,9 @@
         When its last heartbeat was read from the registry.
     says_leaving : bool
         Whether it said in an answer that it leaves.
+    is_accepting : bool
+        Whether it accepted a connection after a report that it did not
+        answer in time.
     """
 
     backend: backends.Backend
@@ -81,6 +87,7 @@
     missing_since_s: float = math.inf
     last_heartbeat_s: float = -math.inf
     says_leaving: bool = False
+    is_accepting: bool = False
 
     @property
     def membership(self) -> backends.Membership | None:
@@ -204,8 +211,8 @@
     return name.rpartition(GROUP_NAME_SEPARATOR)[0]
 
 
-def is_lost(vm: VmView, view: DomainView) -> bool:
-    """Tell whether a VM counts as lost.
+def is_silent(vm: VmView, view: DomainView) -> bool:
+    """Tell whether a VM sends neither reports nor heartbeats.
 
     A VM that still writes heartbeats is only unreachable from this owner,
     and its group may still serve requests.
@@ -221,6 +228,18 @@
     )
 
 
+def is_lost(vm: VmView, view: DomainView) -> bool:
+    """Tell whether a VM counts as lost.
+
+    A silent VM that accepts connections is hung: its process still runs
+    and may go on, with its group and its requests.
+    """
+    if not is_silent(vm, view):
+        return False
+    hung_s = view.now_s - vm.missing_since_s
+    return not vm.is_accepting or hung_s >= HUNG_BEFORE_LOST_S
+
+
 def is_leaving(vm: VmView) -> bool:
     """Tell whether a VM drains, says so, or has left the registry to stop."""
     is_gone = not vm.is_listed and not vm.is_staying
--- a/src/sycamorespool/decisions/plan_builder.py
+++ b/src/sycamorespool/decisions/plan_builder.py
@@ -181,11 +181,11 @@
         order: backends.Order,
         repeat_s: float = domain_view.ORDER_RESEND_S,
     ) -> bool:
-        """Add an order unless its VM is lost or it was sent a moment ago.
+        """Add an order unless its VM is silent or it was sent a moment ago.
 
         Return whether it was added.
         """
-        if domain_view.is_lost(self.view.vms[order.backend_id], self.view):
+        if domain_view.is_silent(self.view.vms[order.backend_id], self.view):
             return False
         key = domain_view.order_key(order)
         last_s = self.memory.sent.get(key, -math.inf)
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -166,3 +166,14 @@
         """Stop listening."""
         trio.lowlevel.notify_closing(self._socket)
         self._socket.close()
+
+
+async def is_accepting(address: str, timeout_s: float) -> bool:
+    """Tell whether an ``IP:port`` accepts a new connection in time."""
+    try:
+        with trio.fail_after(timeout_s):
+            connection = await connect(address)
+    except (OSError, trio.TooSlowError):
+        return False
+    connection.close()
+    return True
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -19,6 +19,7 @@
 from sycamorespool import exceptions
 from sycamorespool import logs
 from sycamorespool.platform import engines
+from sycamorespool import sockets
 
 # How long a VM outside the registry that no longer reports is remembered.
 UNLISTED_KEEP_S = 15.0
@@ -31,6 +32,9 @@
 FRESH_PROBE_PERIOD_S = 1.4
 # A heartbeat is fresh for this part of the time between two.
 FRESH_HEARTBEAT_FRACTION = 0.5
+# Less than ``engines.REPORT_TIMEOUT_S``, so that the outcome is known before
+# the next report is missed.
+CONNECT_TIMEOUT_S = 0.4
 
 log = logs.make_logger("groups")
 
@@ -54,6 +58,9 @@
         Reports in a row that did not arrive.
     missing_since_s : float
         When the first of these was asked for; infinite without any.
+    is_accepting : bool
+        Whether the VM accepted a connection after the newest of these; not
+        asked if the report failed in another way than by its timeout.
     orders : int
         Orders that the VM has begun, including those that its reports,
         which lag behind, do not show yet.
@@ -71,6 +78,7 @@
     report_s: float = -math.inf
     misses: int = 0
     missing_since_s: float = math.inf
+    is_accepting: bool = False
     orders: int = 0
     is_leaving: bool = False
     ordered_s: float = -math.inf
@@ -156,6 +164,10 @@
             probe.missing_since_s = asked_s
             log.info("VM did not report its state", vm=vm_id, error=error)
         probe.misses += 1
+        if isinstance(error, trio.TooSlowError):
+            watch.nursery.start_soon(_check_connection, backend, probe)
+        else:
+            probe.is_accepting = False
         return
     finally:
         watch.probing.discard(vm_id)
@@ -171,6 +183,18 @@
     probe.missing_since_s = math.inf
 
 
+async def _check_connection(backend: backends.Backend, probe: Probe) -> None:
+    """Find out whether a VM that does not answer accepts connections.
+
+    The system of a VM does so for a process that stands still.  It refuses
+    connections once the process has ended, and a VM that is gone or cut off
+    does neither.
+    """
+    probe.is_accepting = await sockets.is_accepting(
+        backend.address, CONNECT_TIMEOUT_S
+    )
+
+
 async def _check_leaving(
     watch: VmWatch, backend: backends.Backend, probe: Probe
 ) -> None:
@@ -306,4 +330,5 @@
         probe.missing_since_s,
         last_heartbeat_s,
         watch.context.placement_state.is_leaving(backend),
+        probe.is_accepting,
     )
--- a/tests/decisions/engine_simulation.py
+++ b/tests/decisions/engine_simulation.py
@@ -45,6 +45,7 @@
     report: backends.Report | None = None
     report_s: float = float("-inf")
     hung_until_s: float = float("-inf")
+    is_accepting: bool = False
 
 
 @dataclasses.dataclass
@@ -259,6 +260,7 @@
     def probe(self, cut: frozenset[str] = frozenset()) -> None:
         """Request the report of every engine that is not cut off."""
         for vm in self.vms.values():
+            vm.is_accepting = self.is_hung(vm) and vm.vm_id not in cut
             if not vm.is_alive or vm.vm_id in cut or self.is_hung(vm):
                 vm.misses += 1
                 vm.missing_s = min(vm.missing_s, self.now_s)
@@ -301,6 +303,7 @@
                 vm.misses,
                 vm.missing_s,
                 vm.last_heartbeat_s,
+                is_accepting=vm.is_accepting,
             )
         return domain_view.DomainView(
             fence, self.now_s, views, ENGINE, STALL_S, HEARTBEAT_S
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -186,6 +186,15 @@
         return math.inf
 
 
+async def answer_wrongly(stream):
+    """Answer as another server at the same address does."""
+    async with stream:
+        await stream.receive_some()
+        await stream.send_all(
+            b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+        )
+
+
 def time_loss(listen, limit_s=5.0):
     async def main():
         with listen() as name:
@@ -209,3 +218,30 @@
 
     def test_ended_vm_counts_as_lost_as_early_as_without_hung_vms(self):
         assert time_loss(listen_ended) < SLACK_S
+
+    def test_vm_that_ends_while_hung_is_not_kept_until_the_limit(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                with listen_hung() as name:
+                    vm = ProbedVm(nursery, name)
+                    assert await vm.wait_for_loss(1.2) == math.inf
+                assert await vm.wait_for_loss(5.0) < SLACK_S
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_vm_whose_address_answers_wrongly_is_not_taken_for_hung(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                (listener,) = await trio.open_tcp_listeners(
+                    0, host="127.0.0.1"
+                )
+                nursery.start_soon(
+                    trio.serve_listeners, answer_wrongly, [listener]
+                )
+                port = listener.socket.getsockname()[1]
+                vm = ProbedVm(nursery, ("127.0.0.1", port))
+                assert await vm.wait_for_loss(5.0) < SLACK_S
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
