Skip registry entries whose address cannot be connected to

With one such entry the owner of a domain failed every second, and its groups were not repaired until the entry went. The six new cases of an invalid entry failed before.

--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -12,6 +12,7 @@
 from sycamorespool import backends
 from sycamorespool import exceptions
 from sycamorespool import routing_table
+from sycamorespool import sockets
 
 CONFIG_TOPIC = "keyed.op"
 REGISTRY_TOPIC = "keyed.servers"
@@ -212,6 +213,8 @@
         entry = msgspec.json.decode(value, type=_Entry)
     except (msgspec.MsgspecError, UnicodeError):
         return None
+    if not sockets.is_address(entry.address):
+        return None
     domain = "" if entry.domain is None else str(entry.domain)
     return backends.Backend(
         backend_id,
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -17,6 +17,7 @@
 
 READ_BYTES = 64 * 1024
 BACKLOG = 1024
+MAX_PORT = 65535
 # Pause of a listener after a lack of file descriptors or memory.
 ACCEPT_PAUSE_S = 0.1
 RESOURCE_ERRNOS = frozenset(
@@ -89,6 +90,16 @@
             self._socket.close()
 
 
+def is_address(address: str) -> bool:
+    """Tell whether a text is an ``IP:port`` to which one can connect."""
+    try:
+        family, (host, port) = _parse_address(address)
+        socket.inet_pton(family, host)
+    except (OSError, ValueError):
+        return False
+    return 0 < port <= MAX_PORT and _format_address(host, port) == address
+
+
 def _parse_address(
     address: str,
 ) -> tuple[socket.AddressFamily, tuple[str, int]]:
--- a/tests/platform/test_hosted_wire.py
+++ b/tests/platform/test_hosted_wire.py
@@ -74,6 +74,12 @@
         [
             {"service": 7},
             {"address": None},
+            {"address": "127.0.0.1"},
+            {"address": "127.0.0.1:99999"},
+            {"address": "127.0.0.1:-1"},
+            {"address": "x:y"},
+            {"address": "[::1:1"},
+            {"address": "\xe9:1"},
             {"state": "odd"},
             {"slots": "many"},
             {"group": {"name": "g"}},
