--- a/src/sycamorespool/platform/engines.py
+++ b/src/sycamorespool/platform/engines.py
@@ -3,8 +3,9 @@
 import dataclasses
 import enum
 
-import httpcore
+import trio
 
+from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool import exceptions
 from sycamorespool import http_client
@@ -17,7 +18,7 @@
 
 
 async def fetch_report(
-    pool: httpcore.AsyncConnectionPool, address: str
+    pools: address_pools.AddressPools, address: str
 ) -> backends.Report:
     """Fetch a model engine's report of its state.
 
@@ -28,7 +29,7 @@
     """
     try:
         answer = await http_client.exchange(
-            pool,
+            await pools.find(address, trio.current_time()),
             "GET",
             f"http://{address}/api/report",
             timeout_s=REPORT_TIMEOUT_S,
@@ -59,10 +60,11 @@
 
 
 async def probe(
-    pool: httpcore.AsyncConnectionPool, address: str, timeout_s: float
+    pools: address_pools.AddressPools, address: str, timeout_s: float
 ) -> ProbeStatus:
     """Ask a backend server for an answer with any status."""
     url = f"http://{address}/api/report"
+    pool = await pools.find(address, trio.current_time())
     try:
         await http_client.exchange(pool, "GET", url, timeout_s=timeout_s)
     except http_client.NotReached:
@@ -74,7 +76,7 @@
 
 
 async def is_staying(
-    pool: httpcore.AsyncConnectionPool,
+    pools: address_pools.AddressPools,
     backend: backends.Backend,
     health_path: str,
 ) -> bool:
@@ -83,6 +85,7 @@
     An answer from another server at the same address counts as no.
     """
     url = f"http://{backend.address}{health_path}"
+    pool = await pools.find(backend.address, trio.current_time())
     try:
         answer = await http_client.exchange(
             pool, "GET", url, timeout_s=REPORT_TIMEOUT_S
@@ -98,7 +101,7 @@
 
 
 async def send_order(
-    pool: httpcore.AsyncConnectionPool,
+    pools: address_pools.AddressPools,
     address: str,
     order: backends.Order,
     fencing_number: int,
@@ -108,7 +111,7 @@
     body = wire.encode_order(order, fencing_number, expected_orders)
     try:
         answer = await http_client.exchange(
-            pool,
+            await pools.find(address, trio.current_time()),
             "POST",
             f"http://{address}/api/order",
             body,
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -8,11 +8,11 @@
 import pytest
 import trio
 
+from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
-from sycamorespool import http_client
 from sycamorespool import vm_watch
 
 HEARTBEAT_S = 1.2
@@ -163,7 +163,7 @@
 
     def __init__(self, nursery, name):
         context = make_context()
-        context.engine_pool = http_client.make_pool()
+        context.engine_pool = address_pools.AddressPools()
         address = f"{name[0]}:{name[1]}"
         self.backend = backends.Backend("a", "s", address, "dc", 1, False)
         self.watch = vm_watch.VmWatch(context, nursery)
