--- a/tests/decisions/fatal_part_world.py
+++ b/tests/decisions/fatal_part_world.py
@@ -53,6 +53,8 @@
     ----------
     fatal_per_s : float
         Requests a second with the fatal part.
+    down_s : float
+        Time until a server that ended is back.
     ended_s : list
         When servers ended under the fatal part.
     fatal_sent_s : list
@@ -66,6 +68,7 @@
         self.entries = entries
         self.heads = max(16, entries // 3)
         self.fatal_per_s = 0.0
+        self.down_s = DOWN_S
         self.ended_s = []
         self.fatal_sent_s = []
         self.sound = []
@@ -74,7 +77,8 @@
         self._now_s = 0.0
         self._serial = itertools.count()
         self._due = []
-        self._running = {head: set() for head in range(self.heads)}
+        # The requests at each live server, in the order of their arrival.
+        self._running = {head: {} for head in range(self.heads)}
         self._births = [0] * self.heads
         self._unreviewed = set()
         self._telling = set()
@@ -137,7 +141,7 @@
         head = self._random.choice(free)
         read_s = self._random.uniform(*READ_S)
         sent = Run(prompt, entry, self._now_s + read_s, runs - 1)
-        self._running[head].add(sent)
+        self._running[head][sent] = None
         self._at(read_s, self._begin, head, sent)
         return "begun"
 
@@ -153,7 +157,7 @@
 
     def _finish(self, head, sent):
         if sent in self._running.get(head, ()):
-            self._running[head].discard(sent)
+            del self._running[head][sent]
             state = self._states[sent.entry]
             fatal_parts.note_served(state, sent.prompt, self._now_s)
 
@@ -162,7 +166,7 @@
         self._births[head] += 1
         prompts = {}
         for sent in cut:
-            if self._now_s - sent.began_s < FRESH_S:
+            if self._is_suspect(sent):
                 prompts.setdefault(sent.entry, set()).add(sent.prompt)
         for entry, found in prompts.items():
             end = fatal_parts.ServerEnd(
@@ -170,22 +174,33 @@
             )
             self._report(entry, fatal_parts.note_end, end, self._now_s)
         for sent in cut:
-            self._send(sent.prompt, sent.entry, sent.runs)
-        self._at(DOWN_S, self._restart, head)
+            self._retry(head, sent)
+        self._at(self.down_s, self._restart, head)
+
+    def _is_suspect(self, sent):
+        return self._now_s - sent.began_s < FRESH_S
+
+    def _retry(self, head, sent):
+        self._send(sent.prompt, sent.entry, sent.runs)
 
     def _restart(self, head):
-        self._running[head] = set()
+        self._running[head] = {}
 
     def _report(self, entry, note, *args):
         """Let an entry note something now, and the others later."""
-        note(self._states[entry], *args)
-        self._unreviewed.add(entry)
+        self._note(entry, note, args)
+        self._publish(entry, note, args)
+
+    def _publish(self, entry, note, args):
         for other in range(self.entries):
             if other != entry:
                 delay_s = self._random.uniform(*REPORT_DELAY_S)
                 self._at(delay_s, self._receive, other, note, args)
 
     def _receive(self, entry, note, args):
+        self._note(entry, note, args)
+
+    def _note(self, entry, note, args):
         note(self._states[entry], *args)
         self._unreviewed.add(entry)
 
