--- a/src/sycamorespool/decisions/fatal_parts.py
+++ b/src/sycamorespool/decisions/fatal_parts.py
@@ -288,11 +288,16 @@
         for part in end:
             ends_by_part[part].append(end)
     counts = {part: len(ends) for part, ends in ends_by_part.items()}
+
+    def rank(part: str) -> tuple[int, bool, bool, int, str]:
+        # Among equals, one that is blocked already leaves the least to others.
+        is_blocked = part in state.blocked_until_s
+        is_special = is_identity(part)
+        return counts[part], is_blocked, is_special, depths[part], part
+
     found: dict[str, int] = {}
     while counts:
-        part = max(
-            counts, key=lambda p: (counts[p], is_identity(p), depths[p], p)
-        )
+        part = max(counts, key=rank)
         if counts[part] < HOLD_ENDS:
             break
         found[part] = counts[part]
