Name what ends of servers have in common traits

Parts of prompts and identities of requests are traits; modules, types and variables say so. Stored records, metrics and codes are unchanged.

--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -10,7 +10,7 @@
 from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -39,8 +39,8 @@
     """Record a call that was answered, also if with a failure."""
     is_good = caller_answer.status < 500
     if caller_answer.status < 300:
-        fatal_parts.note_served(
-            context.prompt_blocks,
+        fatal_traits.note_served(
+            context.trait_blocks,
             call.traits,
             trio.current_time(),
         )
--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -19,7 +19,7 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool import calls
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
@@ -121,7 +121,7 @@
     tries: Tries
     silence_s: float
     silent_since_s: float
-    traits: fatal_parts.Traits = ()
+    traits: fatal_traits.Traits = ()
     is_waiting: bool = True
     has_begun: bool = False
     is_replaced: bool = False
--- a/src/sycamorespool/calls.py
+++ b/src/sycamorespool/calls.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from sycamorespool import caller_request
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -37,7 +37,7 @@
     version: int
     arrived_s: float
     end_s: float
-    traits: fatal_parts.Traits = ()
+    traits: fatal_traits.Traits = ()
 
     @property
     def is_stream(self) -> bool:
--- a/src/sycamorespool/decisions/fatal_parts.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -1,23 +1,23 @@
-"""Finds the parts of prompts on which backend servers end, and blocks them.
+"""Finds the traits of requests on which backend servers end.
 
 A request may end every server that begins to answer it, and the next one
 when it is repeated there (a query of death).  The cause is often a part of
-its prompt that other requests share.  Each entry combines what all entries
-saw: the servers that ended, with the requests that were not yet answered
-there, and the parts of requests that were served::
+its prompt that other requests share, or the request itself, which is
+repeated and named by its identity (see
+:mod:`sycamorespool.request_identity`).  Both are traits of the request.  Each
+entry combines what all entries saw: the servers that ended, with the requests
+that were not yet answered there, and the traits of requests that were
+served::
 
     note_end(state, ServerEnd("i-1", 7, frozenset({("aa", "bad", "c1")})), 9.0)
     review(state, 9.0)
     state.find_block_end_s(("aa", "bad", "c2"), 9.1)
 
-Most requests at a server that ends have nothing to do with it.  So the part
-that is common to the most ends explains them first, of several parts with
-the same ends the one that is the most special; the other parts count only
-for the ends that are left.  A part that was served lately is no cause.
-
-The cause may also be one request that is repeated.  Its identity (see
-:mod:`sycamorespool.request_identity`) is the most special of its parts, and
-the only one if it has no prompt.
+Most requests at a server that ends have nothing to do with it.  So the trait
+that is common to the most ends explains them first, of several traits with
+the same ends the one that is the most special, as an identity is; the other
+traits count only for the ends that are left.  A trait that was served lately
+is no cause.
 """
 
 import collections
@@ -26,16 +26,16 @@
 import math
 import typing as t
 
-# Ends in a row after which a part is not sent for a moment, and after which
+# Ends in a row after which a trait is not sent for a moment, and after which
 # it is blocked unless some entry has served it.
 HOLD_ENDS = 2
 BLOCK_ENDS = 3
-# Time in which other entries can tell that they have served a part.
+# Time in which other entries can tell that they have served a trait.
 CONFIRM_S = 1.5
 BLOCK_S = 600.0
 # How long an end counts.
 WINDOW_S = 120.0
-# A part that was served this shortly before an end did not cause it.
+# A trait that was served this shortly before an end did not cause it.
 SERVED_VALID_S = 30.0
 MAX_SERVED = 16384
 MAX_ENDS = 512
@@ -88,14 +88,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Hold:
-    """Holds since when a part is suspected, and if this is enough to block."""
+    """Holds since when a trait is suspected, and if this suffices."""
 
     since_s: float
     is_enough: bool
 
     @property
     def end_s(self) -> float:
-        """Return when the hold ends, unless the part is blocked by then."""
+        """Return when the hold ends, unless the trait is blocked by then."""
         return self.since_s + (2 if self.is_enough else 1) * CONFIRM_S
 
 
@@ -116,23 +116,23 @@
 
 
 @dataclasses.dataclass(slots=True)
-class FatalParts:
-    """Holds the ends of servers, and the parts that are held or blocked.
+class FatalTraits:
+    """Holds the ends of servers, and the traits that are held or blocked.
 
     Parameters
     ----------
     ends : dict
         The recent ends by process.
     served_s : dict
-        When this entry last served each part; the latest come last.
+        When this entry last served each trait; the latest come last.
     reported_served_s : dict
-        When other entries have served a part, by their reports.
+        When other entries have served a trait, by their reports.
     holds : dict
-        The parts that are suspected.
+        The traits that are suspected.
     blocked_until_s : dict
-        Until when a part is blocked.
+        Until when a trait is blocked.
     reported_blocks : set
-        The blocked parts that some entry has reported.
+        The blocked traits that some entry has reported.
     """
 
     ends: dict[ServerKey, _SeenEnd] = dataclasses.field(default_factory=dict)
@@ -145,7 +145,7 @@
     reported_blocks: set[str] = dataclasses.field(default_factory=set)
 
     def find_review_due_s(self) -> float:
-        """Return when a part is to be blocked without any further report."""
+        """Return when a trait is to be blocked without any further report."""
         return min(
             (
                 hold.since_s + CONFIRM_S
@@ -160,7 +160,7 @@
 
         None if it may be sent.
         """
-        blocks = [Block(t, self._find_part_end_s(t)) for t in traits]
+        blocks = [Block(t, self._find_trait_end_s(t)) for t in traits]
         last = max(blocks, key=lambda block: block.end_s, default=None)
         return last if last is not None and last.end_s > now_s else None
 
@@ -172,16 +172,16 @@
         block = self.find_block(traits, now_s)
         return block.end_s if block else None
 
-    def _find_part_end_s(self, part: str) -> float:
-        hold = self.holds.get(part)
+    def _find_trait_end_s(self, trait: str) -> float:
+        hold = self.holds.get(trait)
         hold_end_s = hold.end_s if hold else -math.inf
-        return max(hold_end_s, self.blocked_until_s.get(part, -math.inf))
+        return max(hold_end_s, self.blocked_until_s.get(trait, -math.inf))
 
-    def find_served_s(self, part: str) -> float:
-        """Return when any entry, as far as known, last served a part."""
+    def find_served_s(self, trait: str) -> float:
+        """Return when any entry, as far as known, last served a trait."""
         return max(
-            self.served_s.get(part, -math.inf),
-            self.reported_served_s.get(part, -math.inf),
+            self.served_s.get(trait, -math.inf),
+            self.reported_served_s.get(trait, -math.inf),
         )
 
 
@@ -190,123 +190,123 @@
     return trait.startswith(IDENTITY_PREFIX)
 
 
-def note_end(state: FatalParts, end: ServerEnd, at_s: float) -> None:
+def note_end(state: FatalTraits, end: ServerEnd, at_s: float) -> None:
     """Record that a server ended, as this or another entry saw it."""
     key = ServerKey(end.backend_id, end.started_ms)
     seen = state.ends.setdefault(key, _SeenEnd(at_s))
     for prompt in end.prompts:
-        for depth, part in enumerate(prompt):
-            seen.depths[part] = max(depth, seen.depths.get(part, 0))
+        for depth, trait in enumerate(prompt):
+            seen.depths[trait] = max(depth, seen.depths.get(trait, 0))
     if len(state.ends) > MAX_ENDS:
         del state.ends[next(iter(state.ends))]
 
 
-def note_served(state: FatalParts, prompt: Traits, now_s: float) -> None:
+def note_served(state: FatalTraits, prompt: Traits, now_s: float) -> None:
     """Record that a request with this prompt got its whole answer."""
-    for part in prompt:
-        state.served_s.pop(part, None)
-        state.served_s[part] = now_s
+    for trait in prompt:
+        state.served_s.pop(trait, None)
+        state.served_s[trait] = now_s
     while len(state.served_s) > MAX_SERVED:
         del state.served_s[next(iter(state.served_s))]
 
 
-def note_reported_served(state: FatalParts, part: str, at_s: float) -> None:
-    """Record that another entry has served a part."""
-    known_s = state.reported_served_s.get(part, -math.inf)
-    state.reported_served_s[part] = max(known_s, at_s)
+def note_reported_served(state: FatalTraits, trait: str, at_s: float) -> None:
+    """Record that another entry has served a trait."""
+    known_s = state.reported_served_s.get(trait, -math.inf)
+    state.reported_served_s[trait] = max(known_s, at_s)
 
 
-def note_block(state: FatalParts, part: str, until_s: float) -> None:
-    """Record the report that an entry has blocked a part."""
-    known_s = state.blocked_until_s.get(part, -math.inf)
-    state.blocked_until_s[part] = max(known_s, until_s)
-    state.reported_blocks.add(part)
+def note_block(state: FatalTraits, trait: str, until_s: float) -> None:
+    """Record the report that an entry has blocked a trait."""
+    known_s = state.blocked_until_s.get(trait, -math.inf)
+    state.blocked_until_s[trait] = max(known_s, until_s)
+    state.reported_blocks.add(trait)
 
 
-def lift_block(state: FatalParts, part: str) -> None:
-    """Record that an operator has lifted the block of a part.
+def lift_block(state: FatalTraits, trait: str) -> None:
+    """Record that an operator has lifted the block of a trait.
 
-    The ends that it explained then count for no other part either.
+    The ends that it explained then count for no other trait either.
     """
-    state.blocked_until_s.pop(part, None)
-    state.reported_blocks.discard(part)
-    state.holds.pop(part, None)
+    state.blocked_until_s.pop(trait, None)
+    state.reported_blocks.discard(trait)
+    state.holds.pop(trait, None)
     state.ends = {
         key: seen
         for key, seen in state.ends.items()
-        if part not in seen.depths
+        if trait not in seen.depths
     }
 
 
-def review(state: FatalParts, now_s: float) -> Review:
-    """Hold, release and block parts by what is known now."""
+def review(state: FatalTraits, now_s: float) -> Review:
+    """Hold, release and block traits by what is known now."""
     _forget_old(state, now_s)
     ends = _count_ends(state, state.find_served_s)
-    for part in state.blocked_until_s.keys() & ends.keys():
-        del ends[part]
-    for part in state.holds.keys() - ends.keys():
-        del state.holds[part]
-    for part, count in ends.items():
+    for trait in state.blocked_until_s.keys() & ends.keys():
+        del ends[trait]
+    for trait in state.holds.keys() - ends.keys():
+        del state.holds[trait]
+    for trait, count in ends.items():
         is_enough = count >= BLOCK_ENDS
-        hold = state.holds.get(part)
+        hold = state.holds.get(trait)
         if hold is None or hold.is_enough != is_enough:
-            state.holds[part] = _Hold(now_s, is_enough)
+            state.holds[trait] = _Hold(now_s, is_enough)
         elif is_enough and now_s - hold.since_s >= CONFIRM_S:
-            del state.holds[part]
-            state.blocked_until_s[part] = now_s + BLOCK_S
+            del state.holds[trait]
+            state.blocked_until_s[trait] = now_s + BLOCK_S
     unreported = state.blocked_until_s.keys() - state.reported_blocks
     return Review(sorted(unreported), _list_disputed(state))
 
 
-def _forget_old(state: FatalParts, now_s: float) -> None:
+def _forget_old(state: FatalTraits, now_s: float) -> None:
     state.ends = {
         key: seen
         for key, seen in state.ends.items()
         if now_s - seen.at_s <= WINDOW_S
     }
     state.reported_served_s = {
-        part: at_s
-        for part, at_s in state.reported_served_s.items()
+        trait: at_s
+        for trait, at_s in state.reported_served_s.items()
         if now_s - at_s <= WINDOW_S + SERVED_VALID_S
     }
     state.blocked_until_s = {
-        part: until_s
-        for part, until_s in state.blocked_until_s.items()
+        trait: until_s
+        for trait, until_s in state.blocked_until_s.items()
         if until_s > now_s
     }
     state.reported_blocks &= state.blocked_until_s.keys()
 
 
 def _count_ends(
-    state: FatalParts, find_served_s: abc.Callable[[str], float]
+    state: FatalTraits, find_served_s: abc.Callable[[str], float]
 ) -> dict[str, int]:
-    """Return the parts that explain ``HOLD_ENDS`` ends or more, with these."""
-    ends_by_part: dict[str, list[_Depths]] = collections.defaultdict(list)
+    """Return the traits that explain enough ends to be held, with these."""
+    ends_by_trait: dict[str, list[_Depths]] = collections.defaultdict(list)
     depths: _Depths = {}
     for end in _list_unexplained(state, find_served_s):
         depths |= end
-        for part in end:
-            ends_by_part[part].append(end)
-    counts = {part: len(ends) for part, ends in ends_by_part.items()}
+        for trait in end:
+            ends_by_trait[trait].append(end)
+    counts = {trait: len(ends) for trait, ends in ends_by_trait.items()}
 
-    def rank(part: str) -> tuple[int, bool, bool, int, str]:
+    def rank(trait: str) -> tuple[int, bool, bool, int, str]:
         # Among equals, one that is blocked already leaves the least to others.
-        is_blocked = part in state.blocked_until_s
-        is_special = is_identity(part)
-        return counts[part], is_blocked, is_special, depths[part], part
+        is_blocked = trait in state.blocked_until_s
+        is_special = is_identity(trait)
+        return counts[trait], is_blocked, is_special, depths[trait], trait
 
     found: dict[str, int] = {}
     while counts:
-        part = max(counts, key=rank)
-        if counts[part] < HOLD_ENDS:
+        trait = max(counts, key=rank)
+        if counts[trait] < HOLD_ENDS:
             break
-        found[part] = counts[part]
-        _remove_ends(ends_by_part[part], counts)
+        found[trait] = counts[trait]
+        _remove_ends(ends_by_trait[trait], counts)
     return found
 
 
 def _list_unexplained(
-    state: FatalParts, find_served_s: abc.Callable[[str], float]
+    state: FatalTraits, find_served_s: abc.Callable[[str], float]
 ) -> list[_Depths]:
     """Return the suspected traits of each end that no block explains.
 
@@ -320,46 +320,46 @@
         suspects = _select_unserved(seen, find_served_s)
         if blocked:
             suspects = {p: d for p, d in suspects.items() if is_identity(p)}
-        if all(is_identity(part) for part in blocked):
+        if all(is_identity(trait) for trait in blocked):
             unexplained.append(suspects)
     return unexplained
 
 
 def _remove_ends(ends: list[_Depths], counts: dict[str, int]) -> None:
-    """Let ends that a part explains count for no other part."""
+    """Let ends that a trait explains count for no other trait."""
     for end in ends:
-        for part in end:
-            counts[part] -= 1
+        for trait in end:
+            counts[trait] -= 1
         end.clear()
 
 
 def _select_unserved(
     seen: _SeenEnd, find_served_s: abc.Callable[[str], float]
 ) -> _Depths:
-    """Return the parts that may have caused an end, with their depths."""
+    """Return the traits that may have caused an end, with their depths."""
     return {
-        part: depth
-        for part, depth in seen.depths.items()
-        if find_served_s(part) < seen.at_s - SERVED_VALID_S
+        trait: depth
+        for trait, depth in seen.depths.items()
+        if find_served_s(trait) < seen.at_s - SERVED_VALID_S
     }
 
 
-def _list_disputed(state: FatalParts) -> list[str]:
-    """Return the parts that others suspect for lack of this entry's word."""
+def _list_disputed(state: FatalTraits) -> list[str]:
+    """Return the traits that others suspect for lack of this entry's word."""
 
-    def find_reported_s(part: str) -> float:
-        return state.reported_served_s.get(part, -math.inf)
+    def find_reported_s(trait: str) -> float:
+        return state.reported_served_s.get(trait, -math.inf)
 
     return [
-        part
-        for part in _count_ends(state, find_reported_s)
-        if _has_served(state, part)
+        trait
+        for trait in _count_ends(state, find_reported_s)
+        if _has_served(state, trait)
     ]
 
 
-def _has_served(state: FatalParts, part: str) -> bool:
-    served_s = state.served_s.get(part, -math.inf)
+def _has_served(state: FatalTraits, trait: str) -> bool:
+    served_s = state.served_s.get(trait, -math.inf)
     return any(
-        part in seen.depths and served_s >= seen.at_s - SERVED_VALID_S
+        trait in seen.depths and served_s >= seen.at_s - SERVED_VALID_S
         for seen in state.ends.values()
     )
--- a/src/sycamorespool/end_reports.py
+++ b/src/sycamorespool/end_reports.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.platform import pages
 
 # An entry's reports of ends that the store keeps; the next one replaces the
@@ -67,7 +67,7 @@
 def encode_end(
     entry: str,
     number: int,
-    end: fatal_parts.ServerEnd,
+    end: fatal_traits.ServerEnd,
     at_s: float,
     clocks: Clocks,
 ) -> bytes:
@@ -99,7 +99,7 @@
 
 
 def apply(
-    state: fatal_parts.FatalParts, record: pages.KeyedRecord, clocks: Clocks
+    state: fatal_traits.FatalTraits, record: pages.KeyedRecord, clocks: Clocks
 ) -> None:
     """Apply the report of any entry; ignore one of an unknown kind.
 
@@ -110,40 +110,40 @@
     """
     kind, _, name = record.key.partition("/")
     if kind == _BLOCK and record.value is None:
-        fatal_parts.lift_block(state, name)
+        fatal_traits.lift_block(state, name)
     elif kind in _APPLIERS and record.value is not None:
         _APPLIERS[kind](state, name, record.value, clocks)
 
 
 def _apply_end(
-    state: fatal_parts.FatalParts, name: str, value: bytes, clocks: Clocks
+    state: fatal_traits.FatalTraits, name: str, value: bytes, clocks: Clocks
 ) -> None:
     report = msgspec.json.decode(value, type=_End)
     at_s = min(clocks.to_local_s(report.at_ms), clocks.local_s)
-    if clocks.local_s - at_s > fatal_parts.WINDOW_S:
+    if clocks.local_s - at_s > fatal_traits.WINDOW_S:
         return
-    end = fatal_parts.ServerEnd(
+    end = fatal_traits.ServerEnd(
         report.vm, report.started_ms, frozenset(report.prompts)
     )
-    fatal_parts.note_end(state, end, at_s)
+    fatal_traits.note_end(state, end, at_s)
 
 
 def _apply_served(
-    state: fatal_parts.FatalParts, name: str, value: bytes, clocks: Clocks
+    state: fatal_traits.FatalTraits, name: str, value: bytes, clocks: Clocks
 ) -> None:
     report = msgspec.json.decode(value, type=_Served)
     for part, at_ms in report.served_ms.items():
         at_s = min(clocks.to_local_s(at_ms), clocks.local_s)
-        fatal_parts.note_reported_served(state, part, at_s)
+        fatal_traits.note_reported_served(state, part, at_s)
 
 
 def _apply_block(
-    state: fatal_parts.FatalParts, part: str, value: bytes, clocks: Clocks
+    state: fatal_traits.FatalTraits, part: str, value: bytes, clocks: Clocks
 ) -> None:
     until_ms = msgspec.json.decode(value, type=_Block).until_ms
-    latest_s = clocks.local_s + fatal_parts.BLOCK_S
+    latest_s = clocks.local_s + fatal_traits.BLOCK_S
     until_s = min(clocks.to_local_s(until_ms), latest_s)
-    fatal_parts.note_block(state, part, until_s)
+    fatal_traits.note_block(state, part, until_s)
 
 
 _APPLIERS: dict[str, abc.Callable[..., None]] = {
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -22,7 +22,7 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool.decisions import cold_limits
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
@@ -63,19 +63,19 @@
         Set when a request was added.
     """
 
-    prompts: dict[backends.Backend, set[fatal_parts.Traits]] = (
+    prompts: dict[backends.Backend, set[fatal_traits.Traits]] = (
         dataclasses.field(default_factory=dict)
     )
     added: trio.Event = dataclasses.field(default_factory=trio.Event)
 
     def add(
-        self, backend: backends.Backend, traits: fatal_parts.Traits
+        self, backend: backends.Backend, traits: fatal_traits.Traits
     ) -> None:
         """Add a request."""
         self.prompts.setdefault(backend, set()).add(traits)
         self.added.set()
 
-    def take(self) -> dict[backends.Backend, set[fatal_parts.Traits]]:
+    def take(self) -> dict[backends.Backend, set[fatal_traits.Traits]]:
         """Return all requests added since the last call."""
         taken, self.prompts = self.prompts, {}
         self.added = trio.Event()
@@ -127,7 +127,7 @@
         Retry budget by service.
     backend_connections : ConnectionPool
         Idle connections to backend servers, for callers' requests.
-    prompt_blocks : FatalParts
+    trait_blocks : FatalTraits
         The requests and parts of prompts on which servers end.
     cut_requests : CutRequests
         Requests at servers that may have ended.
@@ -169,8 +169,8 @@
     backend_connections: streaming_client.ConnectionPool = dataclasses.field(
         default_factory=streaming_client.ConnectionPool
     )
-    prompt_blocks: fatal_parts.FatalParts = dataclasses.field(
-        default_factory=fatal_parts.FatalParts
+    trait_blocks: fatal_traits.FatalTraits = dataclasses.field(
+        default_factory=fatal_traits.FatalTraits
     )
     cut_requests: CutRequests = dataclasses.field(default_factory=CutRequests)
     metrics: "metrics.Metrics" = dataclasses.field(
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -16,7 +16,7 @@
 from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool import calls
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
@@ -63,14 +63,14 @@
     NotRun, OutcomeUnknown
         If the request itself or a part of its prompt is held or blocked.
     """
-    block = context.prompt_blocks.find_block(call.traits, now_s)
+    block = context.trait_blocks.find_block(call.traits, now_s)
     if block is None:
         return
     if tries.state.may_have_run:
         raise attempt_results.final_error(call, tries, now_s)
     code, subject = (
         ("request_blocked", "this request")
-        if fatal_parts.is_identity(block.trait)
+        if fatal_traits.is_identity(block.trait)
         else ("prompt_blocked", "a part of this prompt")
     )
     raise exceptions.NotRun(
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -4,7 +4,7 @@
 answer is asked for a new connection.  If it refuses that, its process has
 ended, and the entry reports it with the requests it had there.  All entries
 follow the reports in a topic of the store and hold or block parts of prompts
-by them (see :mod:`sycamorespool.decisions.fatal_parts`).
+by them (see :mod:`sycamorespool.decisions.fatal_traits`).
 
 An entry that starts reads the reports too, so that blocks outlast the
 processes that made them.
@@ -19,7 +19,7 @@
 
 from sycamorespool import attempts
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool import end_reports
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -91,7 +91,7 @@
     def __init__(self, context: entry_context.EntryContext) -> None:
         self.appender = _Appender(context)
         self._context = context
-        self._state = context.prompt_blocks
+        self._state = context.trait_blocks
         self._ends = 0
         self._noted = trio.Event()
         self._report_due_s: float | None = None
@@ -108,12 +108,12 @@
     async def _check(
         self,
         backend: backends.Backend,
-        prompts: frozenset[fatal_parts.Traits],
+        prompts: frozenset[fatal_traits.Traits],
     ) -> None:
         now_s = trio.current_time()
         if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
             return
-        end = fatal_parts.ServerEnd(
+        end = fatal_traits.ServerEnd(
             backend.backend_id, backend.started_ms, prompts
         )
         log.warning(
@@ -123,7 +123,7 @@
             parts=" ".join(",".join(prompt) for prompt in sorted(prompts)),
         )
         self._context.metrics.count("server_ends")
-        fatal_parts.note_end(self._state, end, now_s)
+        fatal_traits.note_end(self._state, end, now_s)
         self._noted.set()
         self._ends += 1
         self.appender.add(
@@ -146,7 +146,7 @@
 
     def _review_now(self, now_s: float) -> None:
         held_before = set(self._state.holds)
-        found = fatal_parts.review(self._state, now_s)
+        found = fatal_traits.review(self._state, now_s)
         for part in self._state.holds.keys() - held_before:
             log.warning(
                 "part of prompts is held, servers ended on it", name=part
@@ -161,7 +161,7 @@
         self._context.metrics.set("parts_blocked", len(self._blocked))
         self._plan_report(found, now_s)
 
-    def _plan_report(self, found: fatal_parts.Review, now_s: float) -> None:
+    def _plan_report(self, found: fatal_traits.Review, now_s: float) -> None:
         """Report at a random time, unless others have done so by then."""
         if not found.blocked and not found.served:
             self._report_due_s = None
@@ -172,20 +172,20 @@
             self._report_due_s = None
             self._report(found)
 
-    def _report(self, found: fatal_parts.Review) -> None:
+    def _report(self, found: fatal_traits.Review) -> None:
         clocks = _read_clocks()
         for part in found.blocked:
             until_s = self._state.blocked_until_s[part]
             record = end_reports.encode_block(part, until_s, clocks)
             self.appender.add(record)
-            fatal_parts.note_block(self._state, part, until_s)
+            fatal_traits.note_block(self._state, part, until_s)
         if found.served:
             served_s = {p: self._state.served_s[p] for p in found.served}
             self.appender.add(
                 end_reports.encode_served(self._context.name, served_s, clocks)
             )
             for part, at_s in served_s.items():
-                fatal_parts.note_reported_served(self._state, part, at_s)
+                fatal_traits.note_reported_served(self._state, part, at_s)
 
     def _apply(self, records: abc.Iterable[pages.KeyedRecord]) -> None:
         """Apply reports of all entries; skip those that are not valid."""
--- a/tests/decisions/fatal_request_world.py
+++ b/tests/decisions/fatal_request_world.py
@@ -10,8 +10,8 @@
 import dataclasses
 import math
 
-from sycamorespool.decisions import fatal_parts
-from tests.decisions import fatal_part_world
+from sycamorespool.decisions import fatal_traits
+from tests.decisions import fatal_trait_world
 
 DOWN_S = 2.0
 RUNS = 2
@@ -59,11 +59,11 @@
 PLAIN = Servers(3, 6, 3.0, (0.01, 0.11), (0.05, 0.4), math.inf)
 ENGINES = Servers(
     0,
-    fatal_part_world.SLOTS,
-    fatal_part_world.SOUND_PER_HEAD_S,
-    fatal_part_world.READ_S,
-    fatal_part_world.WRITE_S,
-    fatal_part_world.FRESH_S,
+    fatal_trait_world.SLOTS,
+    fatal_trait_world.SOUND_PER_HEAD_S,
+    fatal_trait_world.READ_S,
+    fatal_trait_world.WRITE_S,
+    fatal_trait_world.FRESH_S,
 )
 
 
@@ -81,7 +81,7 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Attempt(fatal_part_world.Run):
+class Attempt(fatal_trait_world.Run):
     """Holds a request at a server, sent by one process of an entry."""
 
     request: Request
@@ -90,7 +90,7 @@
     repeats: int
 
 
-class RequestWorld(fatal_part_world.World):
+class RequestWorld(fatal_trait_world.World):
     """Runs a fleet whose servers end under whole requests.
 
     Attributes
@@ -168,7 +168,7 @@
         self._at(AWAY_S, self._start_entry, entry)
 
     def _start_entry(self, entry):
-        state = self._states[entry] = fatal_parts.FatalParts()
+        state = self._states[entry] = fatal_traits.FatalTraits()
         for note, args in self._records.values():
             note(state, *args)
         self._unreviewed.add(entry)
@@ -185,7 +185,7 @@
         if self.servers.count:
             return Request((identity,), is_safe, is_fatal)
         session = self._random.randrange(SESSIONS)
-        subject = session % fatal_part_world.SUBJECTS
+        subject = session % fatal_trait_world.SUBJECTS
         prompt = (f"s{subject}", f"c{session}", identity)
         return Request(prompt, True, is_fatal)
 
@@ -317,10 +317,10 @@
 
     def _make_key(self, entry, note, args):
         """Return the key of a record in the store; the last one counts."""
-        if note is fatal_parts.note_end:
+        if note is fatal_traits.note_end:
             self._reported_ends[entry] += 1
             return ("end", entry, self._reported_ends[entry] % KEPT_ENDS)
-        if note is fatal_parts.note_block:
+        if note is fatal_traits.note_block:
             return ("block", args[0])
         return ("served", entry)
 
--- a/tests/decisions/fatal_part_world.py
+++ b/tests/decisions/fatal_trait_world.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 
 FATAL = "bad"
 SUBJECTS = 60
@@ -72,7 +72,7 @@
         self.ended_s = []
         self.fatal_sent_s = []
         self.sound = []
-        self._states = [fatal_parts.FatalParts() for _ in range(entries)]
+        self._states = [fatal_traits.FatalTraits() for _ in range(entries)]
         self._random = random.Random(seed)
         self._now_s = 0.0
         self._serial = itertools.count()
@@ -159,7 +159,7 @@
         if sent in self._running.get(head, ()):
             del self._running[head][sent]
             state = self._states[sent.entry]
-            fatal_parts.note_served(state, sent.prompt, self._now_s)
+            fatal_traits.note_served(state, sent.prompt, self._now_s)
 
     def _end(self, head):
         cut = self._running.pop(head)
@@ -169,10 +169,10 @@
             if self._is_suspect(sent):
                 prompts.setdefault(sent.entry, set()).add(sent.prompt)
         for entry, found in prompts.items():
-            end = fatal_parts.ServerEnd(
+            end = fatal_traits.ServerEnd(
                 f"i-{head}", self._births[head], frozenset(found)
             )
-            self._report(entry, fatal_parts.note_end, end, self._now_s)
+            self._report(entry, fatal_traits.note_end, end, self._now_s)
         for sent in cut:
             self._retry(head, sent)
         self._at(self.down_s, self._restart, head)
@@ -211,7 +211,7 @@
         if entry not in self._unreviewed and not is_due:
             return
         self._unreviewed.discard(entry)
-        found = fatal_parts.review(state, self._now_s)
+        found = fatal_traits.review(state, self._now_s)
         has_news = found.blocked or found.served
         if has_news and entry not in self._telling:
             self._telling.add(entry)
@@ -221,10 +221,10 @@
     def _tell(self, entry):
         self._telling.discard(entry)
         state = self._states[entry]
-        found = fatal_parts.review(state, self._now_s)
+        found = fatal_traits.review(state, self._now_s)
         for part in found.blocked:
             until_s = state.blocked_until_s[part]
-            self._report(entry, fatal_parts.note_block, part, until_s)
+            self._report(entry, fatal_traits.note_block, part, until_s)
         if found.served:
             served = [(part, state.served_s[part]) for part in found.served]
             self._report(entry, note_all_served, served)
@@ -232,4 +232,4 @@
 
 def note_all_served(state, served):
     for part, at_s in served:
-        fatal_parts.note_reported_served(state, part, at_s)
+        fatal_traits.note_reported_served(state, part, at_s)
--- a/tests/decisions/test_fatal_requests.py
+++ b/tests/decisions/test_fatal_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from tests.decisions import fatal_request_world as worlds
 
 PLAIN, ENGINES = worlds.PLAIN, worlds.ENGINES
@@ -79,17 +79,17 @@
     def test_block_of_a_sound_request_does_not_clear_the_fatal_one(
         self, sound
     ):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         fatal = ("request:77",)
         ends = [{fatal, (sound,)}] * 3 + [{fatal}]
         # The last end comes after the first block.
         for number, at_s in enumerate((0.0, 0.1, 0.2, 2.0)):
-            fatal_parts.review(state, at_s)
-            end = fatal_parts.ServerEnd(
+            fatal_traits.review(state, at_s)
+            end = fatal_traits.ServerEnd(
                 f"i-{number}", 1, frozenset(ends[number])
             )
-            fatal_parts.note_end(state, end, at_s)
-            fatal_parts.review(state, at_s)
+            fatal_traits.note_end(state, end, at_s)
+            fatal_traits.review(state, at_s)
         for now_s in (3.5, 5.0):
-            fatal_parts.review(state, now_s)
+            fatal_traits.review(state, now_s)
         assert state.find_block_end_s(fatal, 5.0) is not None
--- a/tests/decisions/test_fatal_parts.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -4,19 +4,19 @@
 
 import pytest
 
-from sycamorespool.decisions import fatal_parts
-from tests.decisions import fatal_part_world
+from sycamorespool.decisions import fatal_traits
+from tests.decisions import fatal_trait_world
 
 FATAL = "bad"
 
 
 def end(number, *prompts):
-    return fatal_parts.ServerEnd(f"i-{number}", 1, frozenset(prompts))
+    return fatal_traits.ServerEnd(f"i-{number}", 1, frozenset(prompts))
 
 
 def note_ends(state, *prompts, at_s=1.0):
     for number, prompt in enumerate(prompts):
-        fatal_parts.note_end(state, end(number, prompt), at_s)
+        fatal_traits.note_end(state, end(number, prompt), at_s)
 
 
 def list_held(state, parts, now_s):
@@ -25,109 +25,109 @@
 
 class TestSuspects:
     def test_part_is_held_after_two_ends_and_blocked_after_three(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         note_ends(state, ("aa", FATAL, "1"), ("cc", FATAL, "2"))
-        fatal_parts.review(state, 1.0)
+        fatal_traits.review(state, 1.0)
         assert state.find_block_end_s(("dd", FATAL, "9"), 1.1) == 2.5
         assert state.find_block_end_s(("aa", "9"), 1.1) is None
         note_ends(
             state, ("aa", FATAL, "1"), ("cc", FATAL, "2"), ("dd", FATAL, "3")
         )
-        assert fatal_parts.review(state, 2.0).blocked == []
-        fatal_parts.review(state, 3.4)
+        assert fatal_traits.review(state, 2.0).blocked == []
+        fatal_traits.review(state, 3.4)
         assert state.find_block_end_s((FATAL,), 3.4) is not None
-        assert fatal_parts.review(state, 3.5).blocked == [FATAL]
+        assert fatal_traits.review(state, 3.5).blocked == [FATAL]
         block_end_s = state.find_block_end_s((FATAL,), 4.0)
-        assert block_end_s == 3.5 + fatal_parts.BLOCK_S
+        assert block_end_s == 3.5 + fatal_traits.BLOCK_S
 
     def test_repeats_of_one_request_suspect_only_its_own_part(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         note_ends(state, *[("aa", "cc", "own")] * 4)
-        fatal_parts.review(state, 1.0)
-        fatal_parts.review(state, 2.5)
+        fatal_traits.review(state, 1.0)
+        fatal_traits.review(state, 2.5)
         assert list_held(state, ("aa", "cc", "own"), 2.6) == ["own"]
 
     def test_requests_beside_a_fatal_one_are_not_suspected(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         for number in range(5):
             others = [("aa", f"{number}"), ("cc", f"x{number}")]
             seen = end(number, ("dd", FATAL, f"y{number}"), *others)
-            fatal_parts.note_end(state, seen, 1.0)
-        fatal_parts.review(state, 1.0)
+            fatal_traits.note_end(state, seen, 1.0)
+        fatal_traits.review(state, 1.0)
         assert list_held(state, ("aa", "cc", "dd", FATAL), 1.1) == [FATAL]
 
     def test_two_fatal_parts_are_both_found(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         prompts = [(f"a{n}", f"bad{n % 2}", f"{n}") for n in range(8)]
         note_ends(state, *prompts)
-        fatal_parts.review(state, 1.0)
+        fatal_traits.review(state, 1.0)
         found = list_held(state, ("a0", "a1", "bad0", "bad1"), 1.1)
         assert found == ["bad0", "bad1"]
 
     @pytest.mark.parametrize("is_own", [True, False])
     def test_part_that_was_served_lately_is_not_suspected(self, is_own):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         if is_own:
-            fatal_parts.note_served(state, ("aa", "7"), 1.0)
+            fatal_traits.note_served(state, ("aa", "7"), 1.0)
         else:
-            fatal_parts.note_reported_served(state, "aa", 1.0)
+            fatal_traits.note_reported_served(state, "aa", 1.0)
         note_ends(state, ("aa", "1"), ("aa", "2"), ("aa", "3"), at_s=2.0)
-        fatal_parts.review(state, 2.0)
-        fatal_parts.review(state, 9.0)
+        fatal_traits.review(state, 2.0)
+        fatal_traits.review(state, 9.0)
         assert state.find_block_end_s(("aa",), 9.0) is None
 
     def test_part_that_others_may_suspect_is_reported_once(self):
-        state = fatal_parts.FatalParts()
-        fatal_parts.note_served(state, ("aa", "7"), 1.0)
+        state = fatal_traits.FatalTraits()
+        fatal_traits.note_served(state, ("aa", "7"), 1.0)
         note_ends(state, ("aa", "1"), ("aa", "2"), at_s=2.0)
-        assert fatal_parts.review(state, 2.0).served == ["aa"]
-        fatal_parts.note_reported_served(state, "aa", 1.0)
-        assert fatal_parts.review(state, 2.1).served == []
+        assert fatal_traits.review(state, 2.0).served == ["aa"]
+        fatal_traits.note_reported_served(state, "aa", 1.0)
+        assert fatal_traits.review(state, 2.1).served == []
 
     def test_report_of_another_entry_ends_a_hold(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         note_ends(state, ("aa", "1"), ("aa", "2"), ("aa", "3"))
-        fatal_parts.review(state, 1.0)
+        fatal_traits.review(state, 1.0)
         assert state.find_block_end_s(("aa",), 1.1)
-        fatal_parts.note_reported_served(state, "aa", 0.5)
-        fatal_parts.review(state, 1.2)
+        fatal_traits.note_reported_served(state, "aa", 0.5)
+        fatal_traits.review(state, 1.2)
         assert state.find_block_end_s(("aa",), 1.2) is None
 
     def test_ends_long_ago_do_not_count(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         note_ends(state, (FATAL, "1"), (FATAL, "2"))
-        later_s = 2.0 + fatal_parts.WINDOW_S
-        fatal_parts.note_end(state, end(9, (FATAL, "3")), later_s)
-        fatal_parts.review(state, later_s)
+        later_s = 2.0 + fatal_traits.WINDOW_S
+        fatal_traits.note_end(state, end(9, (FATAL, "3")), later_s)
+        fatal_traits.review(state, later_s)
         assert state.find_block_end_s((FATAL,), later_s) is None
 
 
 class TestBlocks:
     def test_block_of_another_entry_counts_and_ends(self):
-        state = fatal_parts.FatalParts()
-        fatal_parts.note_block(state, FATAL, 50.0)
+        state = fatal_traits.FatalTraits()
+        fatal_traits.note_block(state, FATAL, 50.0)
         assert state.find_block_end_s(("aa", FATAL, "1"), 49.0) == 50.0
         assert state.find_block_end_s(("aa", FATAL, "1"), 50.0) is None
 
     def test_lifted_block_needs_new_ends(self):
-        state = fatal_parts.FatalParts()
+        state = fatal_traits.FatalTraits()
         note_ends(state, *[("aa", FATAL, f"{number}") for number in range(3)])
-        fatal_parts.review(state, 1.0)
-        assert fatal_parts.review(state, 3.0).blocked == [FATAL]
-        fatal_parts.lift_block(state, FATAL)
+        fatal_traits.review(state, 1.0)
+        assert fatal_traits.review(state, 3.0).blocked == [FATAL]
+        fatal_traits.lift_block(state, FATAL)
         # The ends accuse no other part of these prompts either.
         for now_s in (3.1, 9.0):
-            fatal_parts.review(state, now_s)
+            fatal_traits.review(state, now_s)
             assert list_held(state, ("aa", FATAL), now_s) == []
 
     def test_state_is_bounded(self):
-        state = fatal_parts.FatalParts()
-        for number in range(2 * fatal_parts.MAX_SERVED):
-            fatal_parts.note_served(state, (f"{number}",), 1.0)
-        for number in range(2 * fatal_parts.MAX_ENDS):
-            fatal_parts.note_end(state, end(number, (f"{number}",)), 1.0)
-        assert len(state.served_s) == fatal_parts.MAX_SERVED
-        assert len(state.ends) == fatal_parts.MAX_ENDS
+        state = fatal_traits.FatalTraits()
+        for number in range(2 * fatal_traits.MAX_SERVED):
+            fatal_traits.note_served(state, (f"{number}",), 1.0)
+        for number in range(2 * fatal_traits.MAX_ENDS):
+            fatal_traits.note_end(state, end(number, (f"{number}",)), 1.0)
+        assert len(state.served_s) == fatal_traits.MAX_SERVED
+        assert len(state.ends) == fatal_traits.MAX_ENDS
 
 
 # Bounds that the users state: requests with the part that reach servers
@@ -144,7 +144,7 @@
     def test_fatal_part_is_blocked_and_sound_requests_run(
         self, entries, fatal_per_s
     ):
-        world = fatal_part_world.World(entries, seed=entries)
+        world = fatal_trait_world.World(entries, seed=entries)
         world.run(10.0)
         world.fatal_per_s = fatal_per_s
         world.run(40.0)
@@ -158,10 +158,10 @@
         )
         assert after["begun"] > LEAST_SOUND * after.total()
         assert after["blocked"] <= 0.01 * after.total()
-        assert world.list_blocked() == {fatal_part_world.FATAL}
+        assert world.list_blocked() == {fatal_trait_world.FATAL}
 
     def test_no_part_is_blocked_when_servers_end_by_themselves(self, entries):
-        world = fatal_part_world.World(entries, seed=entries)
+        world = fatal_trait_world.World(entries, seed=entries)
         world.run(10.0)
         for _ in range(2):
             world.end_servers(world.heads // 3)
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sycamorespool import caller_request
-from sycamorespool.decisions import fatal_parts
+from sycamorespool.decisions import fatal_traits
 from sycamorespool import request_identity
 
 REQUEST = caller_request.CallerRequest(
@@ -58,12 +58,12 @@
 
     def test_identity_is_no_part_of_a_prompt_and_shows_nothing(self):
         identity = identify()
-        assert fatal_parts.is_identity(identity)
-        assert not fatal_parts.is_identity("aa")
+        assert fatal_traits.is_identity(identity)
+        assert not fatal_traits.is_identity("aa")
         for held in ("caller-key", "charge", "orders"):
             assert held not in identity
 
     @pytest.mark.parametrize("body", [b"", bytes(256), b"x" * 100_000])
     def test_any_body_and_target_has_an_identity(self, body):
         identity = identify(body=body, target="/\xe9", key="\xe9")
-        assert fatal_parts.is_identity(identity)
+        assert fatal_traits.is_identity(identity)
