--- /dev/null
+++ b/tests/decisions/test_running_groups.py
@@ -0,0 +1,106 @@
+"""Tests that groups whose members all live are not ended at once.
+
+``leave`` takes effect at once and cuts the streams of a group; ``close``
+lets them end.
+"""
+
+import dataclasses
+
+import pytest
+
+from sycamorespool import backends
+from sycamorespool.decisions import domain_planner
+from sycamorespool.decisions import domain_view
+from tests.decisions import engine_simulation
+from tests.decisions import test_domain_planner
+
+LEAVE = backends.OrderKind.LEAVE
+
+
+def make_group():
+    """Return engines with an open group, and the view of its owner."""
+    simulation = test_domain_planner.make_simulation()
+    memory = domain_view.PlannerMemory()
+    group = test_domain_planner.form_big(simulation, memory)
+    simulation.probe()
+    view = simulation.view(1)
+    assert not plan(view, memory)
+    return view, memory, group
+
+
+def plan(view, memory):
+    """Return the orders of one plan."""
+    made = domain_planner.plan(view, memory, lambda free: [])
+    return [o for o in made.orders if o.kind is not backends.OrderKind.STAGE]
+
+
+def change_models(view, *models):
+    engine = dataclasses.replace(view.engine, models=models)
+    return dataclasses.replace(view, engine=engine)
+
+
+@pytest.mark.parametrize("is_new_owner", [False, True])
+class TestConfiguration:
+    def test_group_of_a_dropped_model_may_finish_its_requests(
+        self, is_new_owner
+    ):
+        view, memory, _ = make_group()
+        if is_new_owner:
+            memory = domain_view.PlannerMemory()
+        view = change_models(view, engine_simulation.SMALL)
+        orders = plan(view, memory)
+        assert LEAVE not in {order.kind for order in orders}, orders
+
+    def test_group_of_another_size_may_finish_its_requests(self, is_new_owner):
+        view, memory, _ = make_group()
+        if is_new_owner:
+            memory = domain_view.PlannerMemory()
+        smaller = dataclasses.replace(engine_simulation.BIG, size=3)
+        view = change_models(view, smaller, engine_simulation.SMALL)
+        orders = plan(view, memory)
+        assert LEAVE not in {order.kind for order in orders}, orders
+
+
+class TestRegistry:
+    def test_group_is_not_ended_when_a_new_owner_misses_a_member(self):
+        """The entry of a member that lives may be missing for seconds."""
+        view, _, _ = make_group()
+        missing = next(
+            vm_id for vm_id, vm in view.vms.items() if vm.membership.rank == 2
+        )
+        vms = {i: vm for i, vm in view.vms.items() if i != missing}
+        view = dataclasses.replace(view, vms=vms)
+        orders = plan(view, domain_view.PlannerMemory())
+        assert LEAVE not in {order.kind for order in orders}, orders
+
+    def test_group_is_not_ended_when_a_member_left_the_registry(self):
+        view, memory, _ = make_group()
+        vms = {
+            vm_id: dataclasses.replace(vm, is_listed=False, is_staying=True)
+            if vm.membership.rank == 2
+            else vm
+            for vm_id, vm in view.vms.items()
+        }
+        view = dataclasses.replace(view, vms=vms)
+        assert not plan(view, memory)
+
+    def test_unlisted_member_with_two_missed_reports_is_not_known_as_lost(
+        self,
+    ):
+        """Two reports are missed within a second of silence."""
+        view, memory, _ = make_group()
+        vms = {
+            vm_id: dataclasses.replace(
+                vm,
+                is_listed=False,
+                is_staying=True,
+                misses=2,
+                missing_since_s=view.now_s - 0.9,
+            )
+            if vm.membership.rank == 2
+            else vm
+            for vm_id, vm in view.vms.items()
+        }
+        view = dataclasses.replace(view, vms=vms)
+        orders = plan(view, memory)
+        assert LEAVE not in {order.kind for order in orders}, orders
