--- a/tests/hosted/test_attempts_beside.py
+++ b/tests/hosted/test_attempts_beside.py
@@ -528,7 +528,8 @@
                     nursery.start_soon(ask)
                     await trio.sleep(0.1)
                     unreachable = raw_server.RawServer(fleet.nursery, [])
-                    unreachable.address = "%s:%d" % full.getsockname()
+                    host, port = full.getsockname()
+                    unreachable.address = f"{host}:{port}"
                     unreachable.write_record(fleet.store, "z", SERVICE)
                 for client in clients:
                     client.close()
