Close groups whose model a configuration changed, instead of ending them

Callers lost streams beside a change of the configuration: if it dropped a model, or made its groups smaller, the owner took the group for one that lacks a member and ordered leave, which takes effect at once. The streams broke off, and the model had no other group (LOST).

Cause: a group counted as full only if its size was that of the model in the newest configuration. It lacks a member now if one is lost or fewer report it than the model wants; otherwise it is closed and its requests end.

--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/domain_planner.py
@@ -233,13 +233,15 @@
         """End an open group that lost a member or has one that leaves.
 
         A group with all members reachable is closed, so that its requests
-        end first; from any other the head leaves at once.
+        end first; from any other the head leaves at once.  That the
+        configuration dropped its model, or made its groups smaller, does not
+        show that a member is missing.
         """
         self._hold_members(group)
         self.is_settled = False
         vms = [self.view.vms[vm_id] for vm_id in group.members.values()]
-        is_full = group.model and len(group.members) == group.model.size
-        lacks_member = not is_full or any(
+        is_short = group.model is not None and len(vms) < group.model.size
+        lacks_member = is_short or any(
             domain_view.is_lost(vm, self.view) for vm in vms
         )
         kind = (
--- a/tests/decisions/test_running_groups.py
+++ b/tests/decisions/test_running_groups.py
@@ -96,6 +96,7 @@
                 is_staying=True,
                 misses=2,
                 missing_since_s=view.now_s - 0.9,
+                is_accepting=True,
             )
             if vm.membership.rank == 2
             else vm
