Connect to a server no longer than until the deadline

A caller got its final answer up to 0.5 s after its deadline, while an attempt beside a silent one waited for a connection: 1.43 to 1.47 s where 1.0 s was left. hosted/test_attempts_beside.py TestDeadline failed before.

--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -275,9 +275,10 @@
         return event
 
 
-async def _connect(address: str) -> _HttpConnection:
+async def _connect(address: str, end_s: float) -> _HttpConnection:
+    latest_s = trio.current_time() + CONNECT_TIMEOUT_S
     try:
-        with trio.fail_after(CONNECT_TIMEOUT_S):
+        with trio.fail_at(min(latest_s, end_s)):
             return _HttpConnection(await sockets.connect(address))
     except (OSError, trio.TooSlowError) as error:
         raise exceptions.BackendNotReached(repr(error)) from error
@@ -366,7 +367,7 @@
     if outgoing.may_reuse:
         http_connection = pool.take(outgoing.address, now_s)
     if http_connection is None:
-        http_connection = await _connect(outgoing.address)
+        http_connection = await _connect(outgoing.address, end_s)
         if not may_send():
             http_connection.connection.close()
             raise exceptions.BackendNotReached("it wants no more requests")
