Do not take a server that stopped listening for one that has ended

A server that leaves stops listening before it has answered all, and its answer was ended after 0.3 s. A head whose process had ended would have closed the connection, so only other members that refuse connections, and do not leave, show a loss. A probe that was missed at an earlier request no longer counts towards a new silence. TestLeavingServer and test_repeated_silence failed before.

--- a/src/sycamorespool/decisions/server_activity.py
+++ b/src/sycamorespool/decisions/server_activity.py
@@ -68,6 +68,7 @@
     """Record that a request is sent to a server."""
     if not activity.in_flight:
         activity.silent_since_s = now_s
+        activity.unanswered_since_s = math.inf
     activity.in_flight += 1
 
 
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -156,9 +156,12 @@
     try:
         async with trio.open_nursery() as nursery:
             for member in registry.list_members(context.registry, head):
+                # If the head's process had ended, its connections would
+                # have closed.
+                lost = silent if member is head else ended
                 nursery.start_soon(
                     functools.partial(
-                        _probe_member, context, member, silent, ended
+                        _probe_member, context, member, silent, lost
                     )
                 )
     finally:
@@ -178,12 +181,15 @@
     context: entry_context.EntryContext,
     member: backends.Backend,
     silent: list[str],
-    ended: list[str],
+    refused: list[str],
 ) -> None:
+    """Probe a member; add it to ``silent``, or to ``refused`` if it ended."""
     status = await engines.probe(
         context.engine_pool, member.address, PROBE_TIMEOUT_S
     )
     if status is engines.ProbeStatus.SILENT:
         silent.append(member.backend_id)
     elif status is engines.ProbeStatus.REFUSED:
-        ended.append(member.backend_id)
+        # A server that leaves stops listening before it has answered all.
+        is_leaving = context.placement_state.is_leaving(member)
+        (silent if is_leaving else refused).append(member.backend_id)
