Count no failure against a server that was only slower than another

Eight requests whose answers another server gave opened the circuit of a sound server for 8 s, the longest there is: refusals for 6.8 s at a server that had gone on.

--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -9,6 +9,7 @@
 
 from sycamorespool import attempts
 from sycamorespool import backends
+from sycamorespool import call_attempts
 from sycamorespool import calls
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import retries
@@ -64,8 +65,8 @@
     context: entry_context.EntryContext,
     call: calls.Call,
     caller_answer: relay.Relay,
-    tries: attempts.Tries,
-    ended: attempts.Ended,
+    tries: call_attempts.Tries,
+    ended: call_attempts.Ended,
 ) -> None:
     """Record an attempt that ended while another one goes on."""
     point = _note_failed(context, caller_answer, tries, ended)
@@ -79,8 +80,8 @@
     context: entry_context.EntryContext,
     call: calls.Call,
     caller_answer: relay.Relay,
-    tries: attempts.Tries,
-    ended: attempts.Ended,
+    tries: call_attempts.Tries,
+    ended: call_attempts.Ended,
 ) -> None:
     """Record the failure of the last attempt that ran, and decide.
 
@@ -104,16 +105,17 @@
 def _note_failed(
     context: entry_context.EntryContext,
     caller_answer: relay.Relay,
-    tries: attempts.Tries,
-    ended: attempts.Ended,
+    tries: call_attempts.Tries,
+    ended: call_attempts.Ended,
 ) -> retries.FailurePoint:
     """Record a failed attempt's server; return the point of the failure."""
     backend = ended.attempt.backend
     point = _classify_failure(ended.error, caller_answer)
-    if ended.attempt.is_overtaken and not ended.attempt.is_replaced:
+    if not ended.attempt.is_overtaken:
+        _note_failure(context, backend, ended.error, trio.current_time())
+    elif not ended.attempt.is_replaced:
         # It had no time to show whether its server answers.
         return point
-    _note_failure(context, backend, ended.error, trio.current_time())
     if point not in retries.NEVER_RUN:
         # A server that refused or was not reached is only blocked for a
         # while and may be tried again.
@@ -124,7 +126,7 @@
 def _log_failed(
     call: calls.Call,
     caller_answer: relay.Relay,
-    ended: attempts.Ended,
+    ended: call_attempts.Ended,
     point: retries.FailurePoint,
     outcome: str,
 ) -> None:
@@ -177,7 +179,7 @@
 
 def final_error(
     call: calls.Call,
-    tries: attempts.Tries,
+    tries: call_attempts.Tries,
     now_s: float,
     retry_after_s: float = NO_SERVER_RETRY_AFTER_S,
 ) -> exceptions.RequestError:
