Give test runs in parallel ports of their own

Seen: of some 30 runs of real processes beside the tests of others, one deployment did not start within 30 s, one got the answer of another deployment's service (PUT of a VM, answered by a plain service), and one replacement test beside three busy processes ended with "server disconnected". Only the second is traced to the ports; for the others they are a guess.

Cause: a run began at a port that follows from its process id modulo 20, so one in twenty pairs of runs took the same ports in the same order, and the short probe of a port does not hold it until its server listens. At one moment two of six runs on the machine had the same remainder.

Fix: a run holds the first port of its range for as long as it lives, and takes the next range if another run holds that one.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -7,7 +7,6 @@
 from collections import abc
 import dataclasses
 import hashlib
-import itertools
 import os
 import pathlib
 import signal
@@ -47,17 +46,41 @@
 FIRST_PORT = 12000
 LAST_PORT = 32000
 PORTS_PER_PROCESS = 1000
-# Test runs in parallel begin at different ports.
-_FIRST_OFFERED = FIRST_PORT + os.getpid() * PORTS_PER_PROCESS % (
-    LAST_PORT - FIRST_PORT
-)
-_PORTS = itertools.chain(
-    range(_FIRST_OFFERED, LAST_PORT), range(FIRST_PORT, _FIRST_OFFERED)
-)
+RANGES = (LAST_PORT - FIRST_PORT) // PORTS_PER_PROCESS
 CALLER_KEY = "demo-caller-key"
 CALLER_KEY_HASH = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
 
 
+def _bind(port: int) -> socket.socket | None:
+    """Return a socket bound to a loopback port, or None if it is taken."""
+    bound = socket.socket()
+    try:
+        bound.bind(("127.0.0.1", port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
+def _offer_ports() -> abc.Iterator[int]:
+    """Yield the ports of ranges that no other test run has.
+
+    A run has a range for as long as it holds the range's first port.
+    """
+    for number in range(RANGES):
+        index = (os.getpid() + number) % RANGES
+        first = FIRST_PORT + index * PORTS_PER_PROCESS
+        holder = _bind(first)
+        if holder is None:
+            continue
+        _RANGE_HOLDERS.append(holder)
+        yield from range(first + 1, first + PORTS_PER_PROCESS)
+
+
+_RANGE_HOLDERS: list[socket.socket] = []
+_PORTS = _offer_ports()
+
+
 def find_free_address() -> str:
     """Return a loopback address whose port is free now.
 
@@ -66,12 +89,10 @@
     this call and its use.
     """
     for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
+        probe = _bind(port)
+        if probe is not None:
+            probe.close()
+            return f"127.0.0.1:{port}"
     raise OSError("no free port on loopback")
 
 
