Count the grants of a released owner from the claim of the next

Callers saw: after an owner had stopped, requests at an entry without grants, as one that has just started, waited 4.0 to 4.4 s of the 5 s that they may wait for a place, and beside load or after a pause they were refused, not run, with no_capacity.

Trace: entry-0 stops at 0.0 s, releases and the next owner claims at 0.2 s. That one waits 1.5 s for the orders of entry-0, then opens its ledger at the first ask, which takes 2.1 s more for the grants of entry-0, and needs a probe.

Cause: the waits came one after the other. An owner stops granting before it appends its release, so its grants lapse while the next owner waits for the orders. The ledger now opens 2.1 s after this entry read its claim, if the owner before it had released. Nothing changes after an owner that was lost: its waits also cover news in a partial outage of the log.

Why it is safe: the last grant was given before the release, the claim comes after the release in the log, and the time counts from when the claim was read. A restarted process that does not know its claim counts from its first ask as before.

Ruled out: the key owners and the relay; all refusals were of admission.

--- a/src/sycamorespool/decisions/grant_ledger.py
+++ b/src/sycamorespool/decisions/grant_ledger.py
@@ -179,15 +179,16 @@
 
 
 def open_ledger(
-    unit: str, now_s: float, has_predecessor: bool = True
+    unit: str, stopped_s: float, has_predecessor: bool = True
 ) -> Ledger:
     """Return a ledger for a unit that this entry has begun to act for.
 
-    Grants of the previous grantor may still be valid, so the ledger opens
-    once they have expired.
+    Grants that the previous grantor gave before it stopped, at
+    ``stopped_s``, may still be valid, so the ledger opens once they have
+    expired.
     """
     wait_s = counted_ttl_s() if has_predecessor else 0.0
-    return Ledger(unit, now_s + wait_s)
+    return Ledger(unit, stopped_s + wait_s)
 
 
 def can_grant(ledger: Ledger, account: Account, now_s: float) -> bool:
--- a/src/sycamorespool/decisions/ownership.py
+++ b/src/sycamorespool/decisions/ownership.py
@@ -72,6 +72,9 @@
     active_from_s : float
         When this process may begin to act: the lease and the orders of the
         previous owner have expired by then.
+    claimed_s : float
+        When this process read its own claim.  A previous owner that has
+        released the unit has stopped before.
     is_releasing : bool
         Whether a release has begun; this process then never acts under
         this epoch again.
@@ -79,6 +82,7 @@
 
     epoch: int
     active_from_s: float
+    claimed_s: float
     is_releasing: bool = False
 
 
@@ -177,7 +181,9 @@
         owned_unit = state.owned_units.get(unit)
         if owned_unit is None or owned_unit.epoch != owner.epoch:
             wait_s = claim_wait_s(state.timing, owner.predecessor)
-            state.owned_units[unit] = OwnedUnit(owner.epoch, now_s + wait_s)
+            state.owned_units[unit] = OwnedUnit(
+                owner.epoch, now_s + wait_s, now_s
+            )
 
 
 def renew_lease(
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -165,15 +165,29 @@
 ) -> grant_ledger.Ledger:
     epoch, ledger = grantor.ledgers.get(unit, (None, None))
     if ledger is None or epoch != record.epoch:
-        is_first = (
-            record.entry == grantor.owner.env.name
-            and record.predecessor is fleet.Predecessor.NONE
-        )
-        ledger = grant_ledger.open_ledger(unit, now_s, not is_first)
+        ledger = _open_ledger(grantor, unit, record, now_s)
         grantor.ledgers[unit] = (record.epoch, ledger)
     return ledger
 
 
+def _open_ledger(
+    grantor: Grantor, unit: str, record: fleet.Ownership, now_s: float
+) -> grant_ledger.Ledger:
+    env = grantor.owner.env
+    is_first = (
+        record.entry == env.name
+        and record.predecessor is fleet.Predecessor.NONE
+    )
+    owned_unit = env.lease.owned_units.get(unit)
+    is_handover = (
+        owned_unit is not None
+        and owned_unit.epoch == record.epoch
+        and record.predecessor is fleet.Predecessor.RELEASED
+    )
+    stopped_s = owned_unit.claimed_s if is_handover else now_s
+    return grant_ledger.open_ledger(unit, stopped_s, not is_first)
+
+
 def _observe_group(
     grantor: Grantor,
     ledger: grant_ledger.Ledger,
