Do not report the log as unreadable after a pause

Callers saw: an owner stood still for 4 s and went on, and its groups got no work for 6.7 s more; charges that waited were refused, not run, with no_capacity.

Trace: pings had waited for the owner. It answered them at once, or after a long poll that had begun before the pause, and its last read was 4 s old then, so the answers said that it could not read the log. An entry that hears that claims the units of the owner (0.2 s after the end of the pause), and as nothing was released, waits 4.6 s for its lease and 2.1 s for its grants. The owner itself could read the log again after 0.2 s.

Fix: the age of the last read counts from the end of the last pause at the earliest. An outage is reported up to 2 s later if the process was paused; who may act still follows from the lease alone.

Ruled out: that the owner was declared dead; a suspicion takes 4 s and a failed ping before it.

--- a/src/sycamorespool/peer_watch.py
+++ b/src/sycamorespool/peer_watch.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -23,8 +24,10 @@
 # How many entries a leaving entry tells that it leaves.
 MAX_LEAVE_PINGS = 8
 SETTLE_PERIODS = 3
-# Age of the last read up to which the log counts as readable.
+# Running time since the last read up to which the log counts as readable.
 READABLE_LOG_MAX_AGE_S = 2.0
+# A gap between two checks of more of their periods than this is a pause.
+MAX_CHECK_PERIODS = 1.5
 # Older reports of peers on their view of the log are left out.
 LOG_VIEW_MAX_AGE_S = 1.5
 
@@ -43,11 +46,17 @@
         What is known of the other entries.
     rng : random.Random
         Chooses targets and helpers.
+    checked_s : float
+        When the age of the last read of the log was last checked.
+    resumed_s : float
+        When this process last went on after a pause.
     """
 
     env: environment.Environment
     state: membership.Membership
     rng: random.Random = dataclasses.field(default_factory=random.Random)
+    checked_s: float = math.inf
+    resumed_s: float = -math.inf
 
 
 def make_watch(env: environment.Environment) -> PeerWatch:
@@ -121,9 +130,25 @@
     return member.update.address if member else None
 
 
+def _measure_unread_s(watch: PeerWatch) -> float:
+    """Return for how long this process has run without reading the log.
+
+    A process that was paused could not read meanwhile, which does not show
+    that the log cannot be read.
+    """
+    now_s = trio.current_time()
+    check_s = max(
+        watch.state.period_s, PING_TIMEOUT_S + PING_REQUEST_TIMEOUT_S
+    )
+    if now_s - watch.checked_s > MAX_CHECK_PERIODS * check_s:
+        watch.resumed_s = now_s
+    watch.checked_s = now_s
+    return now_s - max(watch.env.log_read_s, watch.resumed_s)
+
+
 def _make_log_view(watch: PeerWatch) -> pings.LogView:
     env = watch.env
-    age_s = trio.current_time() - env.log_read_s
+    age_s = _measure_unread_s(watch)
     return pings.LogView(
         env.fleet.offset, env.fleet.version, age_s < READABLE_LOG_MAX_AGE_S
     )
@@ -171,6 +196,7 @@
 async def _run_period(watch: PeerWatch) -> None:
     env, state = watch.env, watch.state
     now_s = trio.current_time()
+    _measure_unread_s(watch)
     listed = {
         name: (vm.address, vm.data_centre)
         for name, vm in env.entries().items()
