Let an entry that has been live for a while claim released units

Trace: entry-0 stops and releases its domain. If entry-1 had not listed new-0 yet, it claimed after 0.2 s: so the failure came and went.

Fix: a released unit goes to a candidate that has been live for 5 s (rebalance_s, the time after which units are handed to an entry), if there is one. Without such a candidate, as when the whole fleet starts again, the units are shared as before, and so are units that never had an owner or whose owner was lost. Two views that differ lead to a claim that is rejected and never to two owners. The entry itself counts from the start of its lease.

The process test ended before most of these refusals; it now waits for 40 more answers after each stop.

Ruled out: that entry-0 stood still before its stop.

--- a/src/sycamorespool/claims.py
+++ b/src/sycamorespool/claims.py
@@ -57,7 +57,9 @@
     }
     candidates = {
         env.name: unit_assignment.Candidate(
-            env.incarnation, env.settings.entry.data_centre
+            env.incarnation,
+            env.settings.entry.data_centre,
+            env.lease.lease_since_s,
         )
     }
     live = membership.names_with_status(
--- a/src/sycamorespool/decisions/unit_assignment.py
+++ b/src/sycamorespool/decisions/unit_assignment.py
@@ -95,14 +95,23 @@
     return local or list(view.candidates)
 
 
-def _find_eligible(view: AssignmentView, unit: str) -> list[str]:
+def _find_eligible(
+    view: AssignmentView, unit: str, stable_before_s: float
+) -> list[str]:
     # An entry releases a unit to hand it over or because it is stopping, so
     # it gets the same unit back only if there is no other candidate.
     local = _find_local_candidates(view, unit)
     owner = view.replayed.owners.get(unit)
     if owner is None or not owner.is_released:
         return local
-    return [name for name in local if name != owner.entry] or local
+    others = [name for name in local if name != owner.entry] or local
+    # An entry that has just started may not claim yet.
+    stable = [
+        name
+        for name in others
+        if view.candidates[name].live_since_s <= stable_before_s
+    ]
+    return stable or others
 
 
 def _choose_least_loaded(
@@ -114,8 +123,14 @@
     )
 
 
-def choose_owners(view: AssignmentView) -> dict[str, str]:
-    """Return the new owner of each unit that no candidate owns."""
+def choose_owners(
+    view: AssignmentView, stable_before_s: float = math.inf
+) -> dict[str, str]:
+    """Return the new owner of each unit that no candidate owns.
+
+    A released unit goes to a candidate that has been live since
+    ``stable_before_s``, if there is one.
+    """
     if not view.candidates:
         return {}
     counts = _count_owned(view)
@@ -123,7 +138,8 @@
     for unit in sorted(view.units):
         if _has_live_owner(view, unit):
             continue
-        name = _choose_least_loaded(unit, _find_eligible(view, unit), counts)
+        eligible = _find_eligible(view, unit, stable_before_s)
+        name = _choose_least_loaded(unit, eligible, counts)
         chosen[unit] = name
         counts[name] += 1
     return chosen
@@ -166,9 +182,10 @@
     """
     if not ownership.is_settled(state, now_s):
         return []
+    stable_before_s = now_s - state.timing.rebalance_s
     due = [
         _make_claim(state, unit, view.replayed.epoch_of(unit))
-        for unit, name in choose_owners(view).items()
+        for unit, name in choose_owners(view, stable_before_s).items()
         if name == state.entry
     ]
     return _drop_recently_requested(state, due, now_s)
--- a/tests/decisions/test_unit_assignment.py
+++ b/tests/decisions/test_unit_assignment.py
@@ -12,6 +12,7 @@
 
 NAMES = tuple(f"e{number}" for number in range(4))
 UNITS = {f"domain/d{number}": "" for number in range(8)}
+NOW_S = 10.0
 
 
 def make_view(state, names=NAMES, units=UNITS, data_centres=()):
@@ -45,6 +46,26 @@
     return state
 
 
+def release_all(name):
+    """Return a fleet whose units one entry owned and then released."""
+    state = own_all((name,), lambda s: make_view(s, (name,)))
+    batch = [
+        records.OwnershipRelease(f"r/{unit}", unit, owner.epoch)
+        for unit, owner in state.owners.items()
+    ]
+    assert set(apply_all(state, batch)) == {"accepted"}
+    return state
+
+
+def make_aged_view(state, ages_s):
+    """Return a view of candidates by name that are live for so long."""
+    candidates = {
+        name: unit_assignment.Candidate(1, "", NOW_S - age_s)
+        for name, age_s in ages_s.items()
+    }
+    return unit_assignment.AssignmentView(state, UNITS, candidates)
+
+
 def count_owned(state):
     return collections.Counter(o.entry for o in state.owners.values())
 
@@ -107,6 +128,28 @@
         assert statuses == ["accepted", "repeated"]
         assert state.epoch_of("domain/d0") == 0
 
+    @pytest.mark.parametrize("ages_s", [{"e0": 20.0, "e2": 1.0}, {"e0": 20.0}])
+    def test_released_units_wait_for_no_entry_that_just_started(self, ages_s):
+        state = release_all("e1")
+        view = make_aged_view(state, ages_s)
+        lease = make_lease(state, "e0")
+        claimed = unit_assignment.claims_due(lease, view, NOW_S)
+        assert {claim.unit for claim in claimed} == UNITS.keys()
+
+    def test_released_units_are_shared_when_all_entries_just_started(self):
+        state = release_all("e1")
+        view = make_aged_view(state, {"e0": 3.0, "e2": 1.0})
+        lease = make_lease(state, "e0")
+        claimed = unit_assignment.claims_due(lease, view, NOW_S)
+        assert len(claimed) == len(UNITS) // 2
+
+    def test_first_units_are_shared_with_entries_that_just_started(self):
+        state = fleet.FleetState()
+        view = make_aged_view(state, {"e0": 20.0, "e2": 1.0})
+        lease = make_lease(state, "e0")
+        claimed = unit_assignment.claims_due(lease, view, NOW_S)
+        assert len(claimed) == len(UNITS) // 2
+
     def test_second_of_two_concurrent_claims_is_rejected(self):
         state = fleet.FleetState()
         unit = {"domain/d0": ""}
--- a/tests/processes/test_keys.py
+++ b/tests/processes/test_keys.py
@@ -142,12 +142,22 @@
                     names.remove(name)
                     assert await deployment.stop(name) == 0
                     await deployment.remove(name)
+                    await wait_for_answers(deployment, answers)
                 nursery.cancel_scope.cancel()
             runs = await count_runs(deployment)
             assert set(answers) == {200}
             assert set(runs.values()) == {1}
             assert answers[200] > 20
 
+        async def wait_for_answers(deployment, answers):
+            """Wait for more answers; at first old grants serve some."""
+            wanted = answers.total() + 40
+
+            async def has_wanted():
+                return answers.total() >= wanted
+
+            await deployment.wait_for(has_wanted)
+
         async def keep_charging(deployment, names, answers, worker):
             count = 0
             while True:
