--- a/src/sycamorespool/standins/hosted_engine.py
+++ b/src/sycamorespool/standins/hosted_engine.py
@@ -27,6 +27,7 @@
 SERVER_ID = "sycamorespool-replica-id"
 NOT_RUN = "sycamorespool-not-executed"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 PROMPT_PARTS = "sycamorespool-prompt-prefix"
 # Statuses of requests that ran and failed, by the fault.
@@ -45,6 +46,8 @@
         """Answer one request."""
         if self.is_leaving:
             send = hosted_messages.add_header(send, LEAVING, "1")
+        if self.limit_text:
+            send = hosted_messages.add_header(send, LIMIT, self.limit_text)
         body = await asgi.read_body(receive, asgi.MAX_BODY_BYTES)
         request = asgi.make_request(scope, body)
         await trio.sleep_until(self.paused_until_s)
--- a/src/sycamorespool/standins/hosted_state.py
+++ b/src/sycamorespool/standins/hosted_state.py
@@ -63,6 +63,9 @@
         Whether it says in all its answers that it leaves.
     pause_s : float
         Pause that a refusal asks for, 0 without.
+    limit_text : str
+        Requests a second that it says in all its answers to take, empty
+        without.
     arrivals : list of Arrival
         Attempts that reached it, run or not.
     pauses : list of Pause
@@ -125,6 +128,7 @@
     reports: int = 0
     is_leaving: bool = False
     pause_s: float = 0.0
+    limit_text: str = ""
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     pauses: list[Pause] = dataclasses.field(default_factory=list)
     join_s: float = 0.0
