Keep to the limits that servers name, all entries together

Cause: no entry read the header, so such a server was placed like any other. Ruled out: repeats on top of first attempts, and parts of entries that add up (nothing read the limit, and the rates at the heads did not change at 6 s).

The limit is divided into a few token buckets by partitions that the store assigns, with a lease, so that bursts do not grow with the number of entries. Entries share limits in a topic of the store that they follow already. With limits at all servers, calls are refused at once, fairly by workspace.

--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -112,7 +112,7 @@
     backend = ended.attempt.backend
     point = _classify_failure(ended.error, caller_answer)
     if not ended.attempt.is_overtaken:
-        _note_failure(context, backend, ended.error, trio.current_time())
+        _note_failure(context, ended, trio.current_time())
     elif not ended.attempt.is_replaced:
         # It had no time to show whether its server answers.
         return point
@@ -145,14 +145,20 @@
 
 def _note_failure(
     context: entry_context.EntryContext,
-    backend: backends.Backend,
-    error: exceptions.BackendError,
+    ended: call_attempts.Ended,
     now_s: float,
 ) -> None:
+    backend, error = ended.attempt.backend, ended.error
     backend_id = backend.backend_id
     blocked = context.placement_state.blocked_until_s
     if isinstance(error, exceptions.BackendRefused):
-        attempts.note_notice(context, backend, error.status, error.headers)
+        attempts.note_notice(
+            context,
+            backend,
+            error.status,
+            error.headers,
+            ended.attempt.silent_since_s,
+        )
         if error.status == headers.MISDIRECTED:
             blocked[backend_id] = now_s + MISDIRECTED_BLOCK_S
         else:
--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -23,6 +23,7 @@
 from sycamorespool import calls
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
+from sycamorespool.decisions import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
@@ -225,7 +226,9 @@
                     backend, trio.current_time()
                 ),
             ) as answer:
-                note_notice(context, backend, answer.status, answer.headers)
+                note_notice(
+                    context, backend, answer.status, answer.headers, sent_s
+                )
                 activity.refusals = 0
                 movable.is_waiting = False
                 watched = _ObservedAnswer(answer, activity, movable)
@@ -281,15 +284,47 @@
         context.cut_requests.add(backend, call.traits)
 
 
+def _note_limit(
+    context: entry_context.EntryContext,
+    backend: backends.Backend,
+    notice: backends.Notice,
+    sent_s: float,
+) -> None:
+    if notice.names_limit and notice.limit_per_s is None:
+        log.warning(
+            "backend server names a limit that is not valid",
+            vm=backend.backend_id,
+        )
+        return
+    now_s = entry_context.boot_time_s()
+    age_s = trio.current_time() - sent_s
+    answer = server_limits.Answer(notice.limit_per_s, now_s - age_s)
+    is_new = server_limits.note_answer(
+        context.limits, backend.backend_id, backend.started_ms, answer, now_s
+    )
+    if is_new:
+        log.info(
+            "limit of backend server changed",
+            vm=backend.backend_id,
+            places=notice.limit_per_s,
+            state="limited" if notice.names_limit else "not limited",
+        )
+
+
 def note_notice(
     context: entry_context.EntryContext,
     backend: backends.Backend,
     status: int,
     answer_headers: abc.Mapping[str, str],
+    sent_s: float,
 ) -> None:
-    """Record what an answer says of requests that may follow it."""
+    """Record what an answer says of requests that may follow it.
+
+    ``sent_s`` is when its request was sent.
+    """
     notice = headers.decode_notice(status, answer_headers)
-    if notice == backends.Notice():
+    _note_limit(context, backend, notice, sent_s)
+    if not (notice.is_leaving or notice.retry_after_s):
         return
     state = context.placement_state
     if notice.retry_after_s or not state.is_leaving(backend):
--- a/src/sycamorespool/backends.py
+++ b/src/sycamorespool/backends.py
@@ -77,10 +77,16 @@
         Whether the server's process shuts down and wants no new requests.
     retry_after_s : float
         How long the server wants no request from this entry, 0 without.
+    names_limit : bool
+        Whether it names a limit, also if that is not a valid number.
+    limit_per_s : float or None
+        Requests a second that it takes from all entries together.
     """
 
     is_leaving: bool = False
     retry_after_s: float = 0.0
+    names_limit: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -23,6 +23,7 @@
 from sycamorespool.decisions import fencing
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
+from sycamorespool.decisions import server_limits
 from sycamorespool import domain_units
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -68,10 +69,10 @@
 
 
 def _partition_of(unit: str, partitions: int) -> tuple[str, int]:
-    total = len(partition_share.TOPICS) * partitions
+    total = len(entry_context.SHARE_TOPICS) * partitions
     number = rendezvous.weigh("partition", unit) % total
     topic, part = divmod(number, partitions)
-    return partition_share.TOPICS[topic], part
+    return entry_context.SHARE_TOPICS[topic], part
 
 
 def _list_services(
@@ -154,6 +155,9 @@
     if backend is None or probe is None or probe.report is None:
         return
     expected = probe.orders
+    server_limits.note_sent(
+        owner.context.limits, order.backend_id, entry_context.boot_time_s()
+    )
     outcome = await engines.send_order(
         owner.context.engine_pool,
         backend.address,
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -23,11 +23,13 @@
 from sycamorespool import backends
 from sycamorespool.decisions import cold_limits
 from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions import limited_turns
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
+from sycamorespool.decisions import server_limits
 from sycamorespool.decisions import store_readers
 from sycamorespool import http_client
 from sycamorespool import metrics
@@ -48,6 +50,10 @@
 # know each other.
 MAX_DIRECTORY_WAIT_S = 1.2
 
+# There are enough topics that each entry of a large fleet is assigned a
+# partition.
+SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
+
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
 
@@ -121,6 +127,10 @@
         its consumer group.
     cold : ColdLimits
         When this entry sent requests to cold servers.
+    limits : ServerLimits
+        The limits that servers in need have named.
+    turns : Turns
+        The calls that wait for servers with limits.
     breakers : Breakers
         Circuit breaker by server.
     retry_budgets : dict
@@ -144,6 +154,7 @@
     engine_pool: address_pools.AddressPools
     peer_pool: httpcore.AsyncConnectionPool
     random: random.Random
+    limits: server_limits.ServerLimits
     table: routing_table.RoutingTable | None = None
     config_read_s: float = -math.inf
     has_registry: bool = False
@@ -160,6 +171,9 @@
     cold: cold_limits.ColdLimits = dataclasses.field(
         default_factory=cold_limits.ColdLimits
     )
+    turns: limited_turns.Turns = dataclasses.field(
+        default_factory=limited_turns.Turns
+    )
     breakers: retries.Breakers = dataclasses.field(
         default_factory=retries.make_breakers
     )
@@ -243,8 +257,8 @@
     def may_send_to(self, backend: backends.Backend, now_s: float) -> bool:
         """Tell whether this entry may send a server one more request now.
 
-        The server's circuit breaker and, while the server is cold, its
-        limit of requests a second decide.
+        The server's circuit breaker, the limit that it named and, while the
+        server is cold, its limit of requests a second decide.
         """
         backend_id = backend.backend_id
         breaker = self.breakers.get(backend_id)
@@ -253,6 +267,8 @@
             in_flight = activity.in_flight if activity else 0
             if not retries.allows(breaker, in_flight, now_s):
                 return False
+        if self.find_limit_wait_s(backend) > 0.0:
+            return False
         if now_s >= self.registry.cold_until_s.get(backend_id, -math.inf):
             return True
         per_s = self._cold_per_s(backend)
@@ -265,6 +281,12 @@
             now_s,
         )
 
+    def find_limit_wait_s(self, backend: backends.Backend) -> float:
+        """Return how long a server's limit keeps this entry waiting."""
+        return server_limits.find_wait_s(
+            self.limits, backend.backend_id, backend.started_ms, boot_time_s()
+        )
+
     def _cold_per_s(self, backend: backends.Backend) -> float:
         service = self.table.services.get(backend.service)
         if service is None or not service.cold_per_s:
@@ -277,6 +299,7 @@
         server_activity.begin(
             self.placement_state.activities[backend.backend_id], now_s
         )
+        server_limits.note_sent(self.limits, backend.backend_id, boot_time_s())
         until_s = self.registry.cold_until_s.get(backend.backend_id, now_s)
         if now_s < until_s:
             cold_limits.note_sent(self.cold, backend.backend_id, now_s)
@@ -287,6 +310,7 @@
         for backend_id in backend_ids:
             placement.forget(self.placement_state, backend_id, now_s)
             cold_limits.forget(self.cold, backend_id)
+            server_limits.forget(self.limits, backend_id)
             self.breakers.pop(backend_id, None)
 
     def close_request(self) -> None:
@@ -306,6 +330,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def list_partitions(
+    settings: node_settings.Settings,
+) -> tuple[server_limits.Partition, ...]:
+    """Return all partitions that the store divides among the entries."""
+    parts = range(settings.platform.partitions)
+    return tuple((topic, part) for topic in SHARE_TOPICS for part in parts)
+
+
 def make_context(settings: node_settings.Settings) -> EntryContext:
     """Make the context of an entry whose process starts now."""
     pool = http_client.make_pool()
@@ -319,5 +351,6 @@
         address_pools.AddressPools(),
         http_client.make_pool(),
         random.Random(f"{settings.entry.name}/{incarnation}"),
+        server_limits.ServerLimits(list_partitions(settings)),
         directory_due_s=trio.current_time() + MAX_DIRECTORY_WAIT_S,
     )
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -22,6 +22,7 @@
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
+from sycamorespool import limited_calls
 from sycamorespool import logs
 from sycamorespool import relay
 
@@ -97,6 +98,7 @@
     context: entry_context.EntryContext,
     call: calls.Call,
     tries: call_attempts.Tries,
+    limited: limited_calls.LimitedCall,
     until_s: float,
 ) -> None:
     """Wait a moment for a usable server, as long as one may come in time.
@@ -108,10 +110,14 @@
         requests again only later than that.
     """
     now_s = trio.current_time()
+    request = call.make_placement_request(tries.excluded)
+    if not tries.state.tries:
+        usable = placement.list_usable(context.placement_state, request, now_s)
+        if usable and all(map(limited.is_limited, usable)):
+            await limited.wait_for_turn(usable, until_s)
+            return
     backoff_end_s = placement.find_backoff_end_s(
-        context.placement_state,
-        call.make_placement_request(tries.excluded),
-        now_s,
+        context.placement_state, request, now_s
     )
     is_too_late = backoff_end_s is not None and backoff_end_s > until_s
     if now_s < until_s and not is_too_late:
@@ -155,17 +161,38 @@
     CallerStalled
         If the caller did not read its answer.
     """
+    limited = limited_calls.LimitedCall(context, call)
+    try:
+        await _run_attempts(context, call, caller_answer, nursery, limited)
+    finally:
+        limited.leave()
+
+
+async def _run_attempts(
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    caller_answer: relay.Relay,
+    nursery: trio.Nursery | None,
+    limited: limited_calls.LimitedCall,
+) -> None:
     tries = _begin_tries(context, call)
     if nursery is not None:
         tries.begin_beside = functools.partial(
-            _begin_beside, context, call, caller_answer, tries, nursery
+            _begin_beside,
+            context,
+            call,
+            caller_answer,
+            tries,
+            limited,
+            nursery,
         )
     wait_until_s = _find_wait_end_s(call)
     while True:
-        backend = _find_backend(context, call, tries)
+        backend = _find_backend(context, call, tries, limited)
         if backend is None:
-            await _wait_for_server(context, call, tries, wait_until_s)
+            await _wait_for_server(context, call, tries, limited, wait_until_s)
             continue
+        limited.note_chosen(backend)
         attempt = attempts.begin_attempt(context, call, backend, tries)
         ended = await attempts.run_attempt(
             context, call, attempt, caller_answer
@@ -189,6 +216,7 @@
     context: entry_context.EntryContext,
     call: calls.Call,
     tries: call_attempts.Tries,
+    limited: limited_calls.LimitedCall,
 ) -> backends.Backend | None:
     """Return the server for the next attempt, None if there is none now.
 
@@ -206,7 +234,9 @@
         call.make_placement_request(tries.list_unusable()),
         now_s,
         context.random.random(),
-        lambda found: context.may_send_to(found, trio.current_time()),
+        lambda found: (
+            context.may_send_to(found, now_s) and limited.may_take(found)
+        ),
     )
 
 
@@ -215,6 +245,7 @@
     call: calls.Call,
     caller_answer: relay.Relay,
     tries: call_attempts.Tries,
+    limited: limited_calls.LimitedCall,
     nursery: trio.Nursery,
     silent: call_attempts.MovableAttempt,
     now_s: float,
@@ -227,13 +258,14 @@
     ):
         return False
     try:
-        backend = _find_backend(context, call, tries)
+        backend = _find_backend(context, call, tries, limited)
     except exceptions.RequestError:
         return False
     if backend is None:
         return False
     retries.begin_beside(tries.state, tries.budget, now_s, is_counted)
     silent.is_counted = True
+    limited.note_chosen(backend)
     attempt = attempts.begin_attempt(context, call, backend, tries)
     log.info(
         "attempt begins beside a silent one",
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -187,6 +187,12 @@
     "servers_known": Metric(
         "gauge", "servers", (), "Backend servers in this entry's registry."
     ),
+    "servers_limited": Metric(
+        "gauge",
+        "servers",
+        (),
+        "Backend servers that say how many requests a second they take.",
+    ),
     "server_ends": Metric(
         "counter",
         "servers",
--- a/src/sycamorespool/metrics_page.py
+++ b/src/sycamorespool/metrics_page.py
@@ -30,6 +30,7 @@
     metrics = context.metrics
     metrics.set("requests_open", context.requests_open)
     metrics.set("servers_known", len(context.registry.servers))
+    metrics.set("servers_limited", len(context.limits.limits))
     grown = context.platform_store.calls - metrics.counters[("store_calls",)]
     metrics.count("store_calls", times=grown)
     if context.table is None:
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sycamorespool.decisions import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
@@ -22,9 +23,6 @@
 # demand a longer time (``platform.least_ttl_ms``).
 MISSED_JOINS = 3
 GROUP = "entries"
-# There are enough topics that each entry of a large fleet is assigned a
-# partition.
-TOPICS = tuple(f"share-{n}" for n in range(16))
 
 log = logs.make_logger("store")
 
@@ -35,8 +33,8 @@
     """Apply an assignment; return whether it changed anything."""
     if assignment == context.assignment:
         return False
-    total = len(TOPICS) * context.settings.platform.partitions
     context.assignment = assignment
+    total = len(context.limits.partitions)
     context.set_share(len(assignment.partitions) / total)
     log.info(
         "partitions assigned to this entry",
@@ -64,13 +62,15 @@
     is_busy = True
     while not context.is_stopping:
         began_s = trio.current_time()
+        joined_s = entry_context.boot_time_s()
         period_s = JOIN_PERIOD_S if is_busy else IDLE_JOIN_PERIOD_S
+        ttl_s = max(least_ttl_s, MISSED_JOINS * period_s)
         try:
             assignment = await context.platform_store.join(
                 GROUP,
                 member_name(context),
-                TOPICS,
-                max(least_ttl_s, MISSED_JOINS * period_s),
+                entry_context.SHARE_TOPICS,
+                ttl_s,
                 _find_generation(context),
             )
             if context.is_stopping:
@@ -78,6 +78,13 @@
                 await release(context)
                 return
             has_changed = _apply_assignment(context, assignment)
+            server_limits.renew(
+                context.limits,
+                assignment.partitions,
+                joined_s,
+                ttl_s,
+                entry_context.boot_time_s(),
+            )
             failures.note_success()
             is_busy = has_changed or context.owns_domains
         except exceptions.PlatformError as error:
@@ -88,6 +95,7 @@
 
 async def release(context: entry_context.EntryContext) -> None:
     """Leave the consumer group, so that other entries take over at once."""
+    server_limits.release(context.limits)
     former = context.assignment
     _apply_assignment(
         context,
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import math
+import re
 
 from sycamorespool import backends
 from sycamorespool import caller_request
@@ -17,6 +18,7 @@
 NOT_RUN = "sycamorespool-not-executed"
 SIGNATURE = "sycamorespool-replica-signature"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 RESUME_AFTER = "last-event-id"
 KEY_SCHEME = "bearer"
@@ -28,6 +30,9 @@
 # which is the request's own, is kept.
 MAX_PARTS = 32
 
+# A number that is not negative and has no more digits than a float can hold.
+_DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]*)?|\.[0-9]+")
+
 # Headers that concern one connection only or are computed for each message.
 _CONNECTION_HEADERS = frozenset(
     [
@@ -166,7 +171,12 @@
     retry_after_s = 0.0
     if status == UNAVAILABLE:
         retry_after_s = _read_retry_after_s(headers.get(RETRY_AFTER, ""))
-    return backends.Notice(is_leaving(headers), retry_after_s)
+    return backends.Notice(
+        is_leaving(headers),
+        retry_after_s,
+        LIMIT in headers,
+        _read_limit_per_s(headers.get(LIMIT, "")),
+    )
 
 
 def is_leaving(headers: abc.Mapping[str, str]) -> bool:
@@ -174,6 +184,10 @@
     return headers.get(LEAVING, "").strip() == "1"
 
 
+def _read_limit_per_s(value: str) -> float | None:
+    return float(value) if _DECIMAL.fullmatch(value.strip()) else None
+
+
 def _read_retry_after_s(value: str) -> float:
     try:
         seconds = float(value)
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -23,6 +23,7 @@
 from sycamorespool import end_reports
 from sycamorespool import entry_context
 from sycamorespool import exceptions
+from sycamorespool import limit_reports
 from sycamorespool import logs
 from sycamorespool import peer_reads
 from sycamorespool.platform import pages
@@ -192,9 +193,12 @@
         for record in records:
             try:
                 end_reports.apply(self._state, record, _read_clocks())
+                limit_reports.apply(
+                    self._context.limits, record, entry_context.boot_time_s()
+                )
             except (msgspec.MsgspecError, UnicodeError) as error:
                 log.warning(
-                    "report of ended servers is not valid, record skipped",
+                    "report of servers is not valid, record skipped",
                     offset=record.offset,
                     error=error,
                 )
@@ -229,6 +233,7 @@
         nursery.start_soon(watch.collect_ends, nursery)
         nursery.start_soon(watch.review)
         nursery.start_soon(watch.appender.run)
+        nursery.start_soon(limit_reports.report, context, watch.appender.add)
         nursery.start_soon(
             topic_follower.follow,
             topic_follower.Topic(
--- a/tests/hosted/test_limits.py
+++ b/tests/hosted/test_limits.py
@@ -94,3 +94,128 @@
             assert most <= count_allowed(0.5)
 
         run_hosted(scenario)
+
+
+class TestAllLimited:
+    def test_calls_beyond_the_limits_are_refused_at_once_and_never_run(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            for server in fleet.servers:
+                server.limit_text = "0.5"
+            took_s, refused = [], {}
+
+            async def ask(number):
+                began_s = trio.current_time()
+                answer = await fleet.ask("/orders/1", number=number)
+                if answer.status == 503:
+                    took_s.append(trio.current_time() - began_s)
+                    refused[f"a{number}"] = answer
+                return answer
+
+            statuses = await play(fleet, ask)
+            arrived = {a.attempt for s in fleet.servers for a in s.arrivals}
+            assert set(statuses) == {200, 503}
+            assert statuses.count(200) >= 5
+            assert not arrived & refused.keys()
+            # At most as long as a call may wait for a server.
+            assert max(took_s) < 0.7
+            assert sorted(took_s)[len(took_s) // 2] < 0.1
+            for answer in refused.values():
+                assert answer.body.startswith(b"servers_limited")
+                assert float(answer.headers["retry-after"]) >= 1.0
+
+        run_hosted(scenario)
+
+
+class TestEnd:
+    def test_server_gets_its_share_again_once_it_names_no_limit(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            limited.limit_text = "1"
+            await play(
+                fleet, lambda n: fleet.ask("/orders/1", number=n), play_s=6.0
+            )
+            limited.limit_text = ""
+
+            async def is_used():
+                limited.arrivals.clear()
+                await play(
+                    fleet,
+                    lambda n: fleet.ask("/orders/1", number=n),
+                    play_s=1.0,
+                )
+                return len(limited.arrivals) >= 5
+
+            await fleet.wait_for(is_used)
+
+        run_hosted(scenario)
+
+    def test_values_that_are_no_number_hold_nothing_back(self, run_hosted):
+        async def scenario(fleet):
+            limited, other = fleet.servers
+            for text in ("abc", "-1", "nan", "inf", "1e400", "1_0", "2,5"):
+                limited.limit_text = text
+                limited.arrivals.clear()
+                statuses = await play(
+                    fleet,
+                    lambda n: fleet.ask("/orders/1", number=n),
+                    play_s=0.8,
+                )
+                assert set(statuses) == {200}
+                assert len(limited.arrivals) >= 3
+
+        run_hosted(scenario)
+
+
+class TestSharing:
+    def test_limit_is_reported_to_the_other_entries_and_its_end_too(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            limited.limit_text = "30"
+            key = f"limit/{limited.vm_id}"
+
+            def newest():
+                found = {}
+                topic = fleet.store.topics["keyed.server-ends", 0]
+                for record in topic.records:
+                    size = record[0]
+                    found[record[1 : 1 + size].decode()] = record[1 + size :]
+                return found
+
+            async def is_reported():
+                await fleet.ask("/orders/1")
+                return b"30" in newest().get(key, b"")
+
+            await fleet.wait_for(is_reported)
+            limited.limit_text = ""
+
+            async def has_ended():
+                await fleet.ask("/orders/1")
+                return newest().get(key) == b""
+
+            await fleet.wait_for(has_ended)
+
+        run_hosted(scenario)
+
+    def test_limit_that_another_entry_reports_holds_here(self, run_hosted):
+        async def scenario(fleet):
+            limited = fleet.servers[0]
+            fleet.store.put(
+                "keyed.server-ends",
+                f"limit/{limited.vm_id}",
+                {"per_s": 0.5, "started_ms": limited.born_ms},
+            )
+            limited.limit_text = "0.5"
+            await trio.sleep(3.0)
+            limited.arrivals.clear()
+            await play(
+                fleet, lambda n: fleet.ask("/orders/1", number=n), play_s=4.0
+            )
+            assert len(limited.arrivals) <= count_allowed(0.5)
+
+        run_hosted(scenario)
