--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -13,6 +13,7 @@
 from sycamorespool import peer_reads
 from sycamorespool.standins import hosted_engine
 from sycamorespool.standins import hosted_store
+from tests.hosted import cut_links
 
 KEY = "caller-key"
 OTHER_KEY = "other-key"
@@ -84,10 +85,15 @@
 
 
 class HostedFleet:
-    """The stand-ins of the store and the backend servers, and one entry."""
+    """The stand-ins of the store and the backend servers, and one entry.
 
-    def __init__(self, nursery, tmp_path, revoke_ms=5000):
+    ``entries`` are the names of further entries, which start before it.
+    """
+
+    def __init__(self, nursery, tmp_path, revoke_ms=5000, entries=()):
         self.nursery = nursery
+        self.folder = tmp_path
+        self.further = entries
         self.began_s = self.serving_s = trio.current_time()
         self.store = hosted_store.HostedStore()
         self.engines = []
@@ -159,6 +165,8 @@
             await self.add(f"i-{number}", "assistant", "d")
         for number in range(2):
             await self.add(f"p-{number}", "ledger")
+        for name in self.further:
+            await self.add_entry(name)
         self.nursery.start_soon(self.run_entry)
         await self.wait_for(self.is_ready)
         await self.wait_for(self.count_open_is(2))
@@ -168,10 +176,37 @@
             engine.runs.clear()
 
     async def run_entry(self):
+        cut_links.ENTRY.set("entry-1")
         with trio.CancelScope() as self.entry_scope:
             await hosted.run(str(self.path))
         self.entry_ended.set()
 
+    async def add_entry(self, name):
+        """Run a further entry, and wait until it has announced itself."""
+        path = self.folder / f"{name}.ini"
+        path.write_text(
+            hosted_settings.render(
+                name=name,
+                callers=processes.find_free_address(),
+                readiness=processes.find_free_address(),
+                metrics=processes.find_free_address(),
+                peers=processes.find_free_address(),
+                store=self.store_address,
+            )
+        )
+
+        async def run():
+            cut_links.ENTRY.set(name)
+            await hosted.run(str(path))
+
+        self.nursery.start_soon(run)
+        topic = self.store.topics["keyed.entries", 0]
+
+        async def is_announced():
+            return any(name.encode() in record for record in topic.records)
+
+        await self.wait_for(is_announced)
+
     async def restart_entry(self):
         """End the entry at once, and wait until it serves again."""
         self.entry_scope.cancel()
