Pass on a call whose only other servers are not reached

Seen in a new test: a stream whose server reset it was cut, though another entry reached the servers. Cause: the server that reset it counted as reached, so that half of the two were, and the call was kept without a server. Servers at which a call has failed do not count any more.

--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -131,7 +131,8 @@
     backoff_end_s = placement.find_backoff_end_s(
         context.placement_state, request, now_s
     )
-    if call.passed_on is not None and peer_calls.lacks_servers(context, call):
+    is_passed_on = call.passed_on is not None
+    if is_passed_on and peer_calls.lacks_servers(context, call, tries):
         # Another entry may reach them, and is asked next.
         until_s = now_s
     is_too_late = backoff_end_s is not None and backoff_end_s > until_s
--- a/src/sycamorespool/peer_calls.py
+++ b/src/sycamorespool/peer_calls.py
@@ -45,7 +45,7 @@
     It is kept if this entry reaches enough servers for it, or if another
     entry passed it on.
     """
-    if call.passed_on is not None or not lacks_servers(context, call):
+    if call.passed_on is not None or not lacks_servers(context, call, tries):
         return None
     now_s = trio.current_time()
     blocked = context.placement_state.blocked_until_s
@@ -84,11 +84,16 @@
 
 
 def lacks_servers(
-    context: entry_context.EntryContext, call: calls.Call
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    tries: call_attempts.Tries,
 ) -> bool:
-    """Tell whether this entry reaches too few of the servers for a call."""
+    """Tell whether this entry reaches too few of the servers for a call.
+
+    Those at which the call has failed already do not count.
+    """
     eligible = placement.list_eligible(
-        context.placement_state, call.make_placement_request(frozenset())
+        context.placement_state, call.make_placement_request(tries.excluded)
     )
     reached = sum(
         reachability.is_reached(context.reach, backend.backend_id)
--- a/tests/hosted/cut_links.py
+++ b/tests/hosted/cut_links.py
@@ -71,6 +71,11 @@
             if self._links.how is Cut.RESET:
                 raise ConnectionResetError
 
+    def is_idle(self):
+        links = self._links
+        is_reset = links.is_cut(self._address) and links.how is Cut.RESET
+        return not is_reset and super().is_idle()
+
     async def receive(self, max_bytes=sockets.READ_BYTES):
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
