Report that a server ended only if another entry finds so

What callers would see: an entry whose links are reset takes each sound server with an open request for one that ended. Its reports hold and block parts of prompts and requests at all entries.

Cause: a refused connection was the only evidence, and a link that is cut looks the same. Now one other entry that reaches servers is asked, three at most; if none can tell, the entry trusts itself unless its links are in doubt.

hosted/test_cut_links.py TestWord: not_reported_as_ended failed without this (an end of a sound server in the topic) and passes; a server that did end is still reported. Not measured: the time that the question adds to a report.

--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -22,6 +22,7 @@
 from sycamorespool import node_settings
 from sycamorespool import partition_share
 from sycamorespool import peer_calls
+from sycamorespool import peer_probes
 from sycamorespool import peer_reads
 from sycamorespool.platform import headers
 from sycamorespool import reach_watch
@@ -156,9 +157,11 @@
     """Serve callers and other entries until a stop, and its grace, end."""
     listen = context.settings.listen
     peers_app = peer_calls.make_app(
-        context,
-        peer_reads.make_app(context),
         hosted_callers.CallersApp(context, serves_peers=True),
+        {
+            peer_reads.PATH: peer_reads.make_app(context),
+            peer_probes.PATH: peer_probes.make_app(context),
+        },
     )
     serve = functools.partial(
         server.serve,
--- a/src/sycamorespool/peer_calls.py
+++ b/src/sycamorespool/peer_calls.py
@@ -7,6 +7,8 @@
 and server, never passes the call on itself, and says when it has not run it.
 """
 
+from collections import abc
+
 import trio
 
 from sycamorespool import asgi
@@ -134,18 +136,28 @@
 
 
 def make_app(
-    context: entry_context.EntryContext,
-    records_app: asgi.App,
-    calls_app: asgi.App,
+    calls_app: asgi.App, apps: abc.Mapping[str, asgi.App]
 ) -> asgi.App:
-    """Return the application for other entries: their reads and calls."""
+    """Return the application for other entries.
+
+    Parameters
+    ----------
+    calls_app : App
+        Serves the calls that they pass on.
+    apps : mapping
+        Serves their other requests, by path.
+    """
 
     async def app(
         scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        is_call = scope["type"] == "http" and headers.is_passed_on(
-            scope["headers"]
-        )
-        await (calls_app if is_call else records_app)(scope, receive, send)
+        if scope["type"] == "lifespan":
+            await asgi.handle_lifespan(receive, send)
+        elif headers.is_passed_on(scope["headers"]):
+            await calls_app(scope, receive, send)
+        elif scope["path"] in apps:
+            await apps[scope["path"]](scope, receive, send)
+        else:
+            await asgi.send_response(send, asgi.Response(404))
 
     return app
--- /dev/null
+++ b/src/sycamorespool/peer_probes.py
@@ -0,0 +1,97 @@
+"""Asks other entries whether they find that a server has ended, too.
+
+A server that refuses connections may have ended, or the link to it is lost.
+An entry that reaches other servers can tell one from the other::
+
+    if await has_ended(context, backend):
+        ...
+"""
+
+import enum
+import typing as t
+
+from sycamorespool import asgi
+from sycamorespool import backends
+from sycamorespool.decisions import reachability
+from sycamorespool import entry_context
+from sycamorespool import http_client
+from sycamorespool import sockets
+
+PATH = "/server"
+CONNECT_TIMEOUT_S = 0.3
+PEER_TIMEOUT_S = 0.5
+# Entries that are asked, one after the other, until one can tell.
+MAX_ASKED = 3
+
+
+class Finding(enum.StrEnum):
+    """Names what an entry finds out about a server's process."""
+
+    ENDED = "ended"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+
+async def _find(
+    context: entry_context.EntryContext, backend: backends.Backend
+) -> Finding:
+    """Find out by a new connection whether a server's process has ended."""
+    if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
+        return Finding.RUNNING
+    is_doubtful = reachability.is_doubtful(context.reach)
+    return Finding.UNKNOWN if is_doubtful else Finding.ENDED
+
+
+def make_app(context: entry_context.EntryContext) -> asgi.App:
+    """Return the application that answers other entries."""
+
+    async def handle(request: asgi.Request) -> asgi.Response:
+        vm_id = request.query.get("vm", "")
+        backend = context.registry.servers.get(vm_id)
+        found = Finding.UNKNOWN
+        if backend is not None:
+            found = await _find(context, backend)
+        return asgi.Response(200, found.value.encode(), "text/plain")
+
+    return asgi.make_app(handle)
+
+
+async def _ask(
+    context: entry_context.EntryContext,
+    address: str,
+    backend: backends.Backend,
+) -> Finding:
+    url = f"http://{address}{PATH}?vm={backend.backend_id}"
+    try:
+        answer = await http_client.exchange(
+            context.peer_pool, "GET", url, timeout_s=PEER_TIMEOUT_S
+        )
+        return Finding(answer.body.decode("latin-1"))
+    except (http_client.NotReached, http_client.ExchangeFailed, ValueError):
+        return Finding.UNKNOWN
+
+
+def _list_peers(context: entry_context.EntryContext) -> t.Iterator[str]:
+    entries = context.entry_directory.entries
+    names = [name for name in entries if name != context.name]
+    context.random.shuffle(names)
+    for name in names[:MAX_ASKED]:
+        yield entries[name].address
+
+
+async def has_ended(
+    context: entry_context.EntryContext, backend: backends.Backend
+) -> bool:
+    """Tell whether a server's process has ended.
+
+    The first other entry that can tell decides.  If none can, this entry
+    trusts what it sees unless its own links are in doubt.
+    """
+    own = await _find(context, backend)
+    if own is Finding.RUNNING:
+        return False
+    for address in _list_peers(context):
+        found = await _ask(context, address, backend)
+        if found is not Finding.UNKNOWN:
+            return found is Finding.ENDED
+    return own is Finding.ENDED
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -1,10 +1,11 @@
 """Shares with the other entries on which requests backend servers end.
 
 A server that closes the connection of a request which it has hardly begun to
-answer is asked for a new connection.  If it refuses that, its process has
-ended, and the entry reports it with the requests it had there.  All entries
-follow the reports in a topic of the store and hold or block parts of prompts
-by them (see :mod:`sycamorespool.decisions.fatal_traits`).
+answer is asked for a new connection.  If it refuses that, and another entry
+finds so too, its process has ended, and the entry reports it with the requests
+it had there.  All entries follow the reports in a topic of the store and hold
+or block parts of prompts by them (see
+:mod:`sycamorespool.decisions.fatal_traits`).
 
 An entry that starts reads the reports too, so that blocks outlast the
 processes that made them.
@@ -25,10 +26,10 @@
 from sycamorespool import exceptions
 from sycamorespool import limit_reports
 from sycamorespool import logs
+from sycamorespool import peer_probes
 from sycamorespool import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
-from sycamorespool import sockets
 from sycamorespool import topic_follower
 
 # How long the store waits for a report.
@@ -37,7 +38,6 @@
 RETRY_S = 0.8
 # A server that ends closes all its connections within this time.
 GATHER_S = 0.03
-CONNECT_TIMEOUT_S = 0.3
 # Entries report what several of them know at random times within this, so
 # that most of them learn that another one has done so.
 SPREAD_S = 0.4
@@ -112,7 +112,7 @@
         prompts: frozenset[fatal_traits.Traits],
     ) -> None:
         now_s = trio.current_time()
-        if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
+        if not await peer_probes.has_ended(self._context, backend):
             return
         end = fatal_traits.ServerEnd(
             backend.backend_id, backend.started_ms, prompts
--- a/tests/hosted/test_cut_links.py
+++ b/tests/hosted/test_cut_links.py
@@ -173,6 +173,43 @@
         run_hosted(scenario, entries=["entry-2"])
 
 
+class TestWord:
+    """Tests of what the others take from an entry that is cut."""
+
+    def test_servers_that_an_entry_lost_are_not_reported_as_ended(
+        self, run_hosted, links
+    ):
+        async def scenario(fleet):
+            for server in fleet.servers + fleet.engines:
+                server.event_s = 0.3
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_all, fleet, 5)
+                await trio.sleep(0.5)
+                servers = fleet.servers + fleet.engines
+                links.cut(cut_links.Cut.RESET, list_addresses(servers))
+            await trio.sleep(1.0)
+            records = fleet.store.topics["keyed.server-ends", 0].records
+            assert not [r for r in records if b"end/entry-1" in r]
+
+        run_hosted(scenario, entries=["entry-2"])
+
+    def test_server_that_ended_is_reported_though_others_are_asked(
+        self, run_hosted, links
+    ):
+        async def scenario(fleet):
+            fleet.restart_s = 2.0
+            fleet.fatal_parts.add("bad")
+            await fleet.ask_prompt("aa", "bad", "1")
+            records = fleet.store.topics["keyed.server-ends", 0].records
+
+            async def is_reported():
+                return any(b"end/entry" in record for record in records)
+
+            await fleet.wait_for(is_reported)
+
+        run_hosted(scenario, entries=["entry-2"])
+
+
 class TestPassedOn:
     """Tests of what a call keeps that another entry serves."""
 
