Let an entry that reaches no server leave its partitions to others

What callers would see: a group that loses a member stays broken while the owner of its domain is cut from all servers, and that entry's part of the budgets and limits is unused. Cause: ownership follows the store, which the owner reaches.

After 2 s of a cut the entry leaves the store's group, and joins again when it reaches servers. Ruled out: that such an owner takes sound VMs for lost; a VM that still writes heartbeats does not count as lost (domain_view.is_silent).

--- a/src/sycamorespool/decisions/reachability.py
+++ b/src/sycamorespool/decisions/reachability.py
@@ -119,6 +119,11 @@
     return math.isfinite(state.cut_since_s)
 
 
+def has_been_cut(state: Reachability, for_s: float, now_s: float) -> bool:
+    """Tell whether the entry has counted as cut for a time."""
+    return now_s - state.cut_since_s >= for_s
+
+
 def is_doubtful(state: Reachability) -> bool:
     """Tell whether the entry's own links may be why servers do not answer."""
     return len(state.failures) >= MIN_UNREACHED
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sycamorespool.decisions import reachability
 from sycamorespool.decisions import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -23,6 +24,9 @@
 # demand a longer time (``platform.least_ttl_ms``).
 MISSED_JOINS = 3
 GROUP = "entries"
+# An entry that hardly reaches a server for this long leaves its partitions to
+# others: it could neither form groups nor use its part of the budgets.
+CUT_RELEASE_S = 2.0
 
 log = logs.make_logger("store")
 
@@ -62,6 +66,12 @@
     is_busy = True
     while not context.is_stopping:
         began_s = trio.current_time()
+        if reachability.has_been_cut(context.reach, CUT_RELEASE_S, began_s):
+            if context.assignment.partitions:
+                log.warning("no server is reached, partitions are left")
+                await release(context)
+            await trio.sleep(JOIN_PERIOD_S)
+            continue
         joined_s = entry_context.boot_time_s()
         period_s = JOIN_PERIOD_S if is_busy else IDLE_JOIN_PERIOD_S
         ttl_s = max(least_ttl_s, MISSED_JOINS * period_s)
--- a/tests/hosted/test_cut_links.py
+++ b/tests/hosted/test_cut_links.py
@@ -209,6 +209,29 @@
 
         run_hosted(scenario, entries=["entry-2"])
 
+    def test_cut_entry_leaves_its_domains_and_shares_to_the_others(
+        self, run_hosted, links
+    ):
+        async def scenario(fleet):
+            servers = fleet.servers + fleet.engines
+            links.cut(cut_links.Cut.HANG, list_addresses(servers))
+            await ask_all(fleet, 4)
+
+            async def has_left():
+                return not any(
+                    name.startswith("entry-1/") for name in fleet.store.members
+                )
+
+            await fleet.wait_for(has_left)
+            links.repair()
+
+            async def has_returned():
+                return not await has_left()
+
+            await fleet.wait_for(has_returned)
+
+        run_hosted(scenario, entries=["entry-2"])
+
 
 class TestPassedOn:
     """Tests of what a call keeps that another entry serves."""
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from sycamorespool.decisions import reachability
 from sycamorespool.decisions import server_limits
 from sycamorespool import partition_share
 from sycamorespool.platform import store
@@ -47,6 +48,7 @@
         assignment=assignment,
         platform_store=platform_store,
         set_share=lambda share: None,
+        reach=reachability.Reachability(),
         limits=server_limits.ServerLimits((("share-0", 0),)),
         settings=types.SimpleNamespace(
             platform=types.SimpleNamespace(least_ttl_ms=0, partitions=1)
