Let a new owner wait for a member that the registry lacks for a moment

Cause: a group without a listed member was taken for one that had lost it, also by an owner that had never seen the member. Such an owner now waits 2.5 s, in which a VM that lives is listed again. An owner that has seen the group whole acts at once, as before (test_restarted_member_ends_the_group).

--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/domain_planner.py
@@ -88,7 +88,12 @@
     def review_groups(self) -> None:
         """Keep, open or end each group and each group in formation."""
         reported = set()
-        for group in self._list_groups():
+        groups = self._list_groups()
+        names = {group.name for group in groups}
+        self.memory.whole &= names
+        for name in self.memory.short_since_s.keys() - names:
+            del self.memory.short_since_s[name]
+        for group in groups:
             reported.add(group.name)
             self._review_group(group)
         self._review_formations(reported)
@@ -118,6 +123,7 @@
             self._drop_formation(group)
             return
         if self._is_whole(group):
+            self.memory.whole.add(group.name)
             self._keep_or_open(group, head, state)
         elif state in domain_view.RUNNING_STATES:
             self._end_running(group, head, state)
@@ -241,6 +247,8 @@
         self.is_settled = False
         vms = [self.view.vms[vm_id] for vm_id in group.members.values()]
         is_short = group.model is not None and len(vms) < group.model.size
+        if is_short and self._may_be_unlisted(group):
+            return
         lacks_member = is_short or any(
             domain_view.is_lost(vm, self.view) for vm in vms
         )
@@ -258,6 +266,19 @@
             )
         )
 
+    def _may_be_unlisted(self, group: _Group) -> bool:
+        """Tell whether the registry may only lack a member for a while.
+
+        An owner that has seen the group whole would still know the member.
+        """
+        if group.name in self.memory.whole:
+            return False
+        since_s = self.memory.short_since_s.setdefault(
+            group.name, self.view.now_s
+        )
+        waited_s = self.view.now_s - since_s
+        return waited_s < domain_view.UNLISTED_BEFORE_LOST_S
+
     def _end_headless(self, group: _Group) -> None:
         """End a group whose head cannot be reached.
 
--- a/src/sycamorespool/decisions/domain_view.py
+++ b/src/sycamorespool/decisions/domain_view.py
@@ -22,6 +22,8 @@
 HUNG_BEFORE_LOST_S = 2.5
 # Older reports are not trusted when a group is opened or a VM is used.
 REPORT_MAX_AGE_S = 2.0
+# A VM that lives is back in the registry so long after its entry expired.
+UNLISTED_BEFORE_LOST_S = 2.5
 # Reports show the effect of an order late, so an order is not sent again
 # within this time.
 ORDER_RESEND_S = 1.2
@@ -169,6 +171,11 @@
         Groups in formation, by name.
     heads : dict
         The last known head of each group, by name.
+    whole : set of str
+        Groups that this owner has seen whole.
+    short_since_s : dict
+        When another open group was first seen without all its members, by
+        name.
     held_until_s : dict
         Until when a VM may join no group, by id, since the head of its
         former group may still run requests.
@@ -180,6 +187,8 @@
     fence: int = -1
     formations: dict[str, Formation] = dataclasses.field(default_factory=dict)
     heads: dict[str, str] = dataclasses.field(default_factory=dict)
+    whole: set[str] = dataclasses.field(default_factory=set)
+    short_since_s: dict[str, float] = dataclasses.field(default_factory=dict)
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     sent: dict[tuple[str, str, str], float] = dataclasses.field(
         default_factory=dict
--- a/tests/decisions/test_running_groups.py
+++ b/tests/decisions/test_running_groups.py
@@ -73,6 +73,22 @@
         orders = plan(view, domain_view.PlannerMemory())
         assert LEAVE not in {order.kind for order in orders}, orders
 
+    def test_group_that_stays_without_a_member_is_ended(self):
+        view, _, _ = make_group()
+        vms = {
+            vm_id: vm
+            for vm_id, vm in view.vms.items()
+            if vm.membership.rank != 2
+        }
+        view, memory = (
+            dataclasses.replace(view, vms=vms),
+            domain_view.PlannerMemory(),
+        )
+        assert not plan(view, memory)
+        later_s = view.now_s + domain_view.UNLISTED_BEFORE_LOST_S
+        view = dataclasses.replace(view, now_s=later_s)
+        assert LEAVE in {order.kind for order in plan(view, memory)}
+
     def test_group_is_not_ended_when_a_member_left_the_registry(self):
         view, memory, _ = make_group()
         vms = {
