Begin a test of attempts beside silent ones with quick answers

What it checks is unchanged (eight rounds, one whole answer each); quick answers first give the mean that servers have in use.

--- a/tests/hosted/test_attempts_beside.py
+++ b/tests/hosted/test_attempts_beside.py
@@ -70,6 +70,9 @@
         async def scenario(fleet):
             servers = raw_fleet.Servers(fleet)
             await servers.start(["a", "b"])
+            # The limit of silence depends on the usual time to an answer.
+            for number in range(8):
+                await raw_fleet.ask_lookup(fleet, f"quick-{number}")
             for number in range(8):
                 go_on = trio.Event()
 
