Give the calls with idempotency keys a folder of their own

The rule for adapter packages allows the folders of jobs beside modules at the top: what it allowed before under another path, and no more. Each such folder has to say its job in its __init__ (new check).

--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -19,7 +19,7 @@
 from sycamorespool import dispatch
 from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import keyed_calls
+from sycamorespool.keys import keyed_calls
 from sycamorespool import logs
 from sycamorespool import relay
 
--- a/src/sycamorespool/daemon.py
+++ b/src/sycamorespool/daemon.py
@@ -19,9 +19,9 @@
 from sycamorespool import grantor
 from sycamorespool import group_control
 from sycamorespool import invariants
-from sycamorespool import key_owners
-from sycamorespool import key_resolution
-from sycamorespool import keyed_calls
+from sycamorespool.keys import key_owners
+from sycamorespool.keys import key_resolution
+from sycamorespool.keys import keyed_calls
 from sycamorespool import logs
 from sycamorespool import metrics
 from sycamorespool.operators import api
--- /dev/null
+++ b/src/sycamorespool/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Runs calls with idempotency keys at most once; used by ``entry`` only."""
--- a/src/sycamorespool/key_owners.py
+++ b/src/sycamorespool/keys/key_owners.py
@@ -19,7 +19,7 @@
 from sycamorespool.decisions import rendezvous
 from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import key_streams
+from sycamorespool.keys import key_streams
 from sycamorespool import logs
 from sycamorespool import records
 
--- a/src/sycamorespool/key_resolution.py
+++ b/src/sycamorespool/keys/key_resolution.py
@@ -12,7 +12,7 @@
 from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import key_owners
+from sycamorespool.keys import key_owners
 from sycamorespool import models
 from sycamorespool import records
 
--- a/src/sycamorespool/keyed_calls.py
+++ b/src/sycamorespool/keys/keyed_calls.py
@@ -20,8 +20,8 @@
 from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import key_owners
-from sycamorespool import key_streams
+from sycamorespool.keys import key_owners
+from sycamorespool.keys import key_streams
 from sycamorespool import logs
 from sycamorespool import records
 from sycamorespool import relay
--- a/src/sycamorespool/operators/api.py
+++ b/src/sycamorespool/operators/api.py
@@ -12,8 +12,8 @@
 from sycamorespool import asgi
 from sycamorespool import entry_states
 from sycamorespool import environment
-from sycamorespool import key_owners
-from sycamorespool import key_resolution
+from sycamorespool.keys import key_owners
+from sycamorespool.keys import key_resolution
 from sycamorespool.operators import explain
 from sycamorespool.operators import patches
 from sycamorespool import owner
--- a/tests/key_fleet.py
+++ b/tests/key_fleet.py
@@ -9,9 +9,9 @@
 from sycamorespool import dispatch
 from sycamorespool import environment
 from sycamorespool import exceptions
-from sycamorespool import key_owners
-from sycamorespool import key_resolution
-from sycamorespool import keyed_calls
+from sycamorespool.keys import key_owners
+from sycamorespool.keys import key_resolution
+from sycamorespool.keys import keyed_calls
 from sycamorespool import models
 from sycamorespool.platform import log
 from sycamorespool import records
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -4,8 +4,8 @@
 import pytest
 import trio
 
-from sycamorespool import key_owners
-from sycamorespool import key_resolution
+from sycamorespool.keys import key_owners
+from sycamorespool.keys import key_resolution
 from tests import key_fleet
 
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,7 +29,9 @@
 ADAPTER_PACKAGES = frozenset(
     {"backend_servers", "callers", "entries", "operators", "platform"}
 )
-SUBPACKAGES = ADAPTER_PACKAGES | {"decisions", "standins"}
+# One job each, for which several modules work together.
+JOB_PACKAGES = frozenset({"keys"})
+SUBPACKAGES = ADAPTER_PACKAGES | JOB_PACKAGES | {"decisions", "standins"}
 PURE_LIBRARIES = frozenset(
     [
         "__future__",
@@ -193,7 +195,8 @@
     @pytest.mark.parametrize("module", list_modules_of(*ADAPTER_PACKAGES))
     def test_adapter_package_imports_no_other_adapter(self, module):
         packages = {get_subpackage(name) for name in find_own_imports(module)}
-        assert packages <= {"", "decisions", get_subpackage(module)}
+        own = get_subpackage(module)
+        assert packages <= {"", "decisions", own} | JOB_PACKAGES
 
     @pytest.mark.parametrize("module", list_modules_of("standins"))
     def test_standins_import_only_shared_modules(self, module):
@@ -221,6 +224,12 @@
         text = (SOURCE / module).read_text()
         assert [name for name in HOSTED_NAMES if name in text] == []
 
+    @pytest.mark.parametrize("package", sorted(JOB_PACKAGES))
+    def test_package_of_a_job_says_what_it_is(self, package):
+        tree = parse(SOURCE / package / "__init__.py")
+        assert ast.get_docstring(tree)
+        assert not list(find_imports(tree))
+
     def test_every_folder_is_a_known_package(self):
         folders = {p.parent.name for p in SOURCE.glob("*/__init__.py")}
         assert folders == SUBPACKAGES
