Report changed limits at most twice a second from an entry

A server whose limit changes with each answer would otherwise be reported up to eight times a second by each entry. Found by reading.

--- a/src/sycamorespool/limit_reports.py
+++ b/src/sycamorespool/limit_reports.py
@@ -21,7 +21,7 @@
 KEY_PREFIX = "limit/"
 # Entries report what several of them see at random times, the later the more
 # entries there are, so that most of them learn that another one has done so.
-LEAST_DELAY_S = 0.1
+LEAST_DELAY_S = 0.4
 SPREAD_PER_ENTRY_S = 0.01
 
 log = logs.make_logger("requests")
