Report ends of many servers, too

Cause: whether another entry confirms an end. From three unreached servers on, each entry took its own links to be in doubt; with many servers ended all entries did, nobody could tell, and some ends were not reported.

An entry now trusts a refused connection if it has heard other servers in the last moment. test_peer_probes: two of six tests failed before.

--- a/src/sycamorespool/peer_probes.py
+++ b/src/sycamorespool/peer_probes.py
@@ -10,11 +10,13 @@
 import enum
 import typing as t
 
+import trio
+
 from sycamorespool import asgi
 from sycamorespool import backends
-from sycamorespool.decisions import reachability
 from sycamorespool import entry_context
 from sycamorespool import http_client
+from sycamorespool import reach_watch
 from sycamorespool import sockets
 
 PATH = "/server"
@@ -38,8 +40,9 @@
     """Find out by a new connection whether a server's process has ended."""
     if not await sockets.is_refused(backend.address, CONNECT_TIMEOUT_S):
         return Finding.RUNNING
-    is_doubtful = reachability.is_doubtful(context.reach)
-    return Finding.UNKNOWN if is_doubtful else Finding.ENDED
+    # Many servers that end do not put the own links in doubt.
+    is_sure = reach_watch.hears_servers(context, trio.current_time())
+    return Finding.ENDED if is_sure else Finding.UNKNOWN
 
 
 def make_app(context: entry_context.EntryContext) -> asgi.App:
@@ -85,7 +88,7 @@
     """Tell whether a server's process has ended.
 
     The first other entry that can tell decides.  If none can, this entry
-    trusts what it sees unless its own links are in doubt.
+    trusts what it sees if it hears other servers.
     """
     own = await _find(context, backend)
     if own is Finding.RUNNING:
--- a/src/sycamorespool/reach_watch.py
+++ b/src/sycamorespool/reach_watch.py
@@ -94,7 +94,7 @@
     state = context.reach
     known = context.registry.servers
     due = [known[vm] for vm in list(state.failures) if vm in known]
-    if len(due) >= SUSPICIOUS_COUNT and _are_silent(context, needed, now_s):
+    if len(due) >= SUSPICIOUS_COUNT and not hears_servers(context, now_s):
         due += [
             backend
             for backend in needed
@@ -103,21 +103,17 @@
     return due
 
 
-def _are_silent(
-    context: entry_context.EntryContext,
-    needed: list[backends.Backend],
-    now_s: float,
-) -> bool:
-    """Tell whether no server was reached or sent anything for a while."""
-    activities = context.placement_state.activities
-    received_s = [
-        activities[backend.backend_id].received_s
-        for backend in needed
-        if backend.backend_id in activities
-    ]
+def hears_servers(context: entry_context.EntryContext, now_s: float) -> bool:
+    """Tell whether any server was reached or has sent something lately."""
+    known = context.registry.servers
+    received_s = (
+        activity.received_s
+        for backend_id, activity in context.placement_state.activities.items()
+        if backend_id in known
+    )
     newest_s = max(received_s, default=-math.inf)
     was_reached = now_s - context.reach.reached_s <= UNREACHED_S
-    return now_s - newest_s > SILENCE_S and not was_reached
+    return now_s - newest_s <= SILENCE_S or was_reached
 
 
 async def run(context: entry_context.EntryContext) -> t.NoReturn:
