--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -66,25 +66,30 @@
     caller_answer: relay.Relay,
     tries: call_attempts.Tries,
 ) -> streaming_client.OutgoingRequest:
-    if peer_calls.is_peer(backend):
-        runs = tries.state.runs
-        return peer_calls.make_outgoing(call, backend, caller_answer, runs)
     request = call.request
     last_event = request.resume_after
     if caller_answer.events.count:
         last_event = str(caller_answer.events.last_id)
-    return streaming_client.OutgoingRequest(
-        backend.address,
-        request.method,
-        request.target,
-        headers.encode_request(
+    left_s = call.end_s - trio.current_time()
+    if peer_calls.is_peer(backend):
+        passed_on = headers.PassedOn(tries.state.runs, call.version)
+        encoded = headers.encode_passed_on(
+            request, passed_on, left_s, last_event
+        )
+    else:
+        encoded = headers.encode_request(
             request,
             backend.backend_id,
             call.workspace.name if call.workspace else "",
             call.priority if request.model else None,
-            call.end_s - trio.current_time(),
+            left_s,
             last_event,
-        ),
+        )
+    return streaming_client.OutgoingRequest(
+        backend.address,
+        request.method,
+        request.target,
+        encoded,
         request.body,
         request.attempt_id,
         may_reuse=call.route.is_repeatable,
--- a/src/sycamorespool/peer_calls.py
+++ b/src/sycamorespool/peer_calls.py
@@ -12,7 +12,6 @@
 import trio
 
 from sycamorespool import asgi
-from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
 from sycamorespool import call_attempts
 from sycamorespool import calls
@@ -21,7 +20,6 @@
 from sycamorespool.decisions import reachability
 from sycamorespool import entry_context
 from sycamorespool.platform import headers
-from sycamorespool import relay
 
 # Begins the id that an entry has among the servers of a call.
 ID_PREFIX = "entry/"
@@ -104,37 +102,6 @@
     return bool(eligible) and reached < LEAST_REACHED * len(eligible)
 
 
-def make_outgoing(
-    call: calls.Call,
-    peer: backends.Backend,
-    caller_answer: relay.Relay,
-    runs: int,
-) -> streaming_client.OutgoingRequest:
-    """Return the request that passes a call on.
-
-    ``runs`` is the number of servers at which it may have run already.
-    """
-    request = call.request
-    last_event = request.resume_after
-    if caller_answer.events.count:
-        last_event = str(caller_answer.events.last_id)
-    return streaming_client.OutgoingRequest(
-        peer.address,
-        request.method,
-        request.target,
-        headers.encode_passed_on(
-            request,
-            headers.PassedOn(runs, call.version),
-            call.end_s - trio.current_time(),
-            last_event,
-        ),
-        request.body,
-        request.attempt_id,
-        may_reuse=call.route.is_repeatable,
-        dialect=entry_context.DIALECT,
-    )
-
-
 def make_app(
     calls_app: asgi.App, apps: abc.Mapping[str, asgi.App]
 ) -> asgi.App:
