Trust a refused connection of an entry with little traffic, too

It now tries eight other servers. Ruled out: load (the tests fail alone).

test_server_ends (21) and test_peer_probes (7, one of them new) pass.

--- a/src/sycamorespool/peer_probes.py
+++ b/src/sycamorespool/peer_probes.py
@@ -24,6 +24,8 @@
 PEER_TIMEOUT_S = 0.5
 # Entries that are asked, one after the other, until one can tell.
 MAX_ASKED = 3
+# Other servers that are tried to find out whether the own links work.
+MAX_TRIED = 8
 
 
 class Finding(enum.StrEnum):
@@ -42,9 +44,33 @@
         return Finding.RUNNING
     # Many servers that end do not put the own links in doubt.
     is_sure = reach_watch.hears_servers(context, trio.current_time())
+    if not is_sure:
+        is_sure = await _reaches_another(context, backend)
     return Finding.ENDED if is_sure else Finding.UNKNOWN
 
 
+async def _reaches_another(
+    context: entry_context.EntryContext, backend: backends.Backend
+) -> bool:
+    """Tell whether one of a few other servers accepts a connection."""
+    others = [
+        other
+        for other in context.registry.servers.values()
+        if other.backend_id != backend.backend_id
+    ]
+    context.random.shuffle(others)
+    accepted: list[backends.Backend] = []
+
+    async def try_one(other: backends.Backend) -> None:
+        if await sockets.is_accepting(other.address, CONNECT_TIMEOUT_S):
+            accepted.append(other)
+
+    async with trio.open_nursery() as nursery:
+        for other in others[:MAX_TRIED]:
+            nursery.start_soon(try_one, other)
+    return bool(accepted)
+
+
 def make_app(context: entry_context.EntryContext) -> asgi.App:
     """Return the application that answers other entries."""
 
@@ -88,7 +114,7 @@
     """Tell whether a server's process has ended.
 
     The first other entry that can tell decides.  If none can, this entry
-    trusts what it sees if it hears other servers.
+    trusts what it sees if it reaches other servers.
     """
     own = await _find(context, backend)
     if own is Finding.RUNNING:
--- a/tests/test_peer_probes.py
+++ b/tests/test_peer_probes.py
@@ -48,16 +48,20 @@
 def ask(monkeypatch):
     """Return a function that tells whether a refusing server has ended."""
 
-    def run(context, peer_says, refuses=True):
+    def run(context, peer_says, refuses=True, others_accept=False):
         async def is_refused(address, timeout_s):
             return refuses
 
+        async def is_accepting(address, timeout_s):
+            return others_accept
+
         async def exchange(*args, **kwargs):
             if peer_says is None:
                 raise http_client.NotReached
             return http_client.Response(200, {}, peer_says.encode())
 
         monkeypatch.setattr(peer_probes.sockets, "is_refused", is_refused)
+        monkeypatch.setattr(peer_probes.sockets, "is_accepting", is_accepting)
         monkeypatch.setattr(peer_probes.http_client, "exchange", exchange)
 
         async def main():
@@ -81,6 +85,10 @@
         assert not ask(make_context(failed=1, heard_s=1.0), "unknown")
         assert not ask(make_context(failed=1, heard_s=1.0), None)
 
+    def test_entry_without_traffic_trusts_itself_if_others_accept(self, ask):
+        context = make_context(failed=5, heard_s=1.0)
+        assert ask(context, None, others_accept=True)
+
     @pytest.mark.parametrize("heard_s", [1.0, 9.9])
     def test_entry_that_can_tell_decides(self, ask, heard_s):
         assert ask(make_context(1, heard_s), "ended")
