--- a/src/sycamorespool/reach_watch.py
+++ b/src/sycamorespool/reach_watch.py
@@ -2,7 +2,7 @@
 
 Servers to which a connection failed are tried again until one is made.  When
 several of them fail one after the other and nothing comes from any, the others
-are tried, too, so that a cut of all links is known within about a second.
+are tried, too, so that a cut of all links is known soon.
 """
 
 import itertools
