Review: an entry cut off from the store goes on with a share given to another

partition_share.hold keeps context.share for as long as joins fail, so the limit of a cold server is used twice.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -296,6 +296,7 @@
         self.ended = False
         self.runs = 0
         self.work_s = 0.045
+        self.cold_until_s = 0.0
         self.http = HttpServer(self._handle)
         # Writes the body of a stream; scripts may replace it.
         self.write_events = write_sound_events
@@ -310,7 +311,7 @@
             "version": "v1",
             "slots": 6,
             "state": self.state,
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms(),
             "sequence": self.sequence,
             "born": self.born,
         }
@@ -323,6 +324,11 @@
             }
         return entry
 
+    def cold_left_ms(self):
+        """Return how long it stays cold."""
+        left_s = self.cold_until_s - self.deployment.record.now_s()
+        return max(0, round(left_s * 1000))
+
     def write_beat(self):
         """Write its heartbeat into the store."""
         if self.is_listed and not self.ended:
@@ -337,7 +343,10 @@
     async def _handle(self, request):
         if request.path == "/health":
             is_good = self.state == "ready"
-            headers = {"Sycamorespool-Replica-Id": self.server_id}
+            headers = {
+                "Sycamorespool-Replica-Id": self.server_id,
+                "Sycamorespool-Cold-Ms": str(self.cold_left_ms()),
+            }
             return (200 if is_good else 503), headers, b""
         if request.path == "/api/report":
             report = {
@@ -566,12 +575,67 @@
     return fill(template, fields)
 
 
+class StoreLink:
+    """Relays an entry's connections to the store, until it is cut.
+
+    While it is cut no byte passes, and new connections get no answer.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._server = None
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self.address = ""
+
+    async def start(self, ip):
+        self._server = await asyncio.start_server(self._relay, ip, 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def cut(self):
+        self._whole.clear()
+
+    def repair(self):
+        self._whole.set()
+
+    def stop(self):
+        if self._server is not None:
+            self._server.close()
+
+    async def _relay(self, reader, writer):
+        await self._whole.wait()
+        host, _, port = self._target.rpartition(":")
+        try:
+            other_reader, other_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._copy(reader, other_writer), self._copy(other_reader, writer)
+        )
+
+    async def _copy(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self._whole.wait()
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
 class Entry:
     """Holds one entry of the project, a real process."""
 
-    def __init__(self, deployment, name, zone, ip):
+    def __init__(self, deployment, name, zone, ip, link):
         self.deployment = deployment
         self.name = name
+        self.link = link
         self.fields = {
             "node_name": name,
             "ip": ip,
@@ -595,7 +659,7 @@
                 "ceiling_over": 1.1,
             },
             "platform": {
-                "address": deployment.store.server.address,
+                "address": link.address,
                 "parts": deployment.store.parts,
                 "ttl_min_ms": 1000,
             },
@@ -658,6 +722,8 @@
         self.runs = []
         self.ended_runs = set()
         self.version = 0
+        self.cold_s = 0.0
+        self.cold_per_s = 0.0
         self._attempts = 0
         self._tasks = set()
         # A range of loopback addresses that another run hardly has.
@@ -683,6 +749,7 @@
 
     def put_config(self):
         """Write the configuration as the operator does."""
+        cold = {"cold_s": self.cold_s, "cold_per_s": self.cold_per_s}
         self.version += 3
         routes = [
             _route("orders", "non_idempotent", "ledger", 1500, 1),
@@ -707,7 +774,8 @@
             "form_ms": 300.0,
         }
         services = [
-            {"name": "ledger", "health_path": "/health", "max_conns": 110},
+            {"name": "ledger", "health_path": "/health", "max_conns": 110}
+            | cold,
             {
                 "name": "drafts",
                 "health_path": "/health",
@@ -736,21 +804,27 @@
         server.write_beat()
         return server
 
-    async def start(self, entries=2, plain=3, engines=4):
+    async def start(
+        self, entries=2, plain=3, engines=4, domain_size=4, entry_zones=ZONES
+    ):
         """Start all, and wait until the entries are ready to serve."""
         await self.store.server.start(f"{self.net}.99")
         self.put_config()
         for number in range(plain):
             await self.add_server(f"p-{number}", "ledger", ZONES[number % 2])
         for number in range(engines):
-            await self.add_server(f"e-{number}", "drafts", "za", "za-d0")
+            domain = f"za-d{number // domain_size}"
+            await self.add_server(f"e-{number}", "drafts", "za", domain)
         self.spawn(self._beat())
         for number in range(entries):
+            link = StoreLink(self.store.server.address)
+            await link.start(f"{self.net}.{60 + number}")
             entry = Entry(
                 self,
                 f"front-{number}",
-                ZONES[number % 2],
+                entry_zones[number % len(entry_zones)],
                 f"{self.net}.{10 + number}",
+                link,
             )
             self.entries.append(entry)
             entry.start()
@@ -803,6 +877,7 @@
         """End all processes and tasks."""
         for entry in self.entries:
             entry.kill()
+            entry.link.stop()
         for task in list(self._tasks):
             task.cancel()
         for server in self.servers.values():
