Review: a broken failure on a stream route is continued with another run

handle_failure takes any answer on a stream route for one that can be resumed, also a failure that is relayed while it arrives.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -128,6 +128,10 @@
         head.append("transfer-encoding: chunked")
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
         async for part in content:
+            if part is None:
+                # The answer breaks off.
+                writer.transport.abort()
+                return False
             writer.write(b"%x\r\n%b\r\n" % (len(part), part))
             await writer.drain()
             if writer.is_closing():
@@ -300,6 +304,8 @@
         self.http = HttpServer(self._handle)
         # Writes the body of a stream; scripts may replace it.
         self.write_events = write_sound_events
+        # Gives the whole answer to a stream, or None; scripts may set it.
+        self.answer_stream = None
 
     def beat(self):
         """Return the registry entry that it would write now."""
@@ -450,6 +456,10 @@
             await asyncio.sleep(self.work_s)
             self.deployment.note_run_end(self, attempt)
             return 200, {**echoed, "content-type": "text/plain"}, b"x" * 800
+        if self.answer_stream is not None:
+            answered = self.answer_stream(self, attempt, echoed)
+            if answered is not None:
+                return answered
         after = int(request.headers.get("last-event-id") or 0)
         echoed["content-type"] = "text/event-stream"
         return 200, echoed, self.write_events(self, attempt, after)
