Review: a second answer to a report is taken for that to an order to leave

Nothing tells which request an answer of an engine's connection belongs to. The owner takes the head for gone, and a member of the open group joins another.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -60,10 +60,19 @@
         self.method = method
         self.path, _, query = target.partition("?")
         self.query = dict(urllib.parse.parse_qsl(query))
+        # Path of the request before it on the same connection.
+        self.last_path = ""
         self.headers = headers
         self.body = body
 
 
+class SecondAnswer(Exception):
+    """Raised by a handler to send the last answer of the connection again.
+
+    The request itself gets no answer.
+    """
+
+
 class HttpServer:
     """Serves HTTP/1.1 with a handler; ``stop`` resets all connections.
 
@@ -75,6 +84,8 @@
         self._handle = handle
         self._server = None
         self._writers = set()
+        # The last answer of each connection, and the path that it was to.
+        self._last = {}
         self.address = ""
 
     async def start(self, ip, port=0):
@@ -101,6 +112,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._last.pop(writer, None)
             writer.close()
 
     async def _serve_one(self, reader, writer):
@@ -117,21 +129,25 @@
         else:
             body = await reader.readexactly(int(headers.get("content-length", 0)))
         request = Request(method, target, headers, body)
-        status, sent, content = await self._handle(request)
+        request.last_path, last = self._last.get(writer, ("", b""))
+        try:
+            status, sent, content = await self._handle(request)
+        except SecondAnswer:
+            writer.write(last)
+            await writer.drain()
+            return True
         head = [f"HTTP/1.1 {status} {_reason(status)}"]
         head += [f"{name}: {value}" for name, value in sent.items()]
         if isinstance(content, bytes):
             head.append(f"content-length: {len(content)}")
-            writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + content)
+            answer = "\r\n".join(head).encode() + b"\r\n\r\n" + content
+            self._last[writer] = (request.path, answer)
+            writer.write(answer)
             await writer.drain()
             return True
         head.append("transfer-encoding: chunked")
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
         async for part in content:
-            if part is None:
-                # The answer breaks off.
-                writer.transport.abort()
-                return False
             writer.write(b"%x\r\n%b\r\n" % (len(part), part))
             await writer.drain()
             if writer.is_closing():
@@ -304,8 +320,10 @@
         self.http = HttpServer(self._handle)
         # Writes the body of a stream; scripts may replace it.
         self.write_events = write_sound_events
-        # Gives the whole answer to a stream, or None; scripts may set it.
-        self.answer_stream = None
+        # Called before an order is carried out; scripts may set it.
+        self.disturb_order = None
+        # Called before it takes a join; scripts may set it.
+        self.note_join = lambda server, order: None
 
     def beat(self):
         """Return the registry entry that it would write now."""
@@ -372,9 +390,17 @@
             }
             return _json(report)
         if request.path == "/api/order":
-            return self._take_order(json.loads(request.body))
+            order = json.loads(request.body)
+            if self.disturb_order is not None:
+                self.disturb_order(self, order, request)
+            return self._take_order(order)
         return await self._serve(request)
 
+    def take_late(self, order, delay_s):
+        """Carry an order out later; nobody gets the answer."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._take_order, order)
+
     def _take_order(self, order):
         if order["fencing_token"] < self.fence:
             return 412, {}, b""
@@ -388,6 +414,7 @@
         return status, {}, b""
 
     def _order_join(self, order):
+        self.note_join(self, order)
         delay_s = 0.3 if order["model"] in self.staged else 1.6
         self.staged = [order["model"]]
         self.group = {
@@ -456,10 +483,6 @@
             await asyncio.sleep(self.work_s)
             self.deployment.note_run_end(self, attempt)
             return 200, {**echoed, "content-type": "text/plain"}, b"x" * 800
-        if self.answer_stream is not None:
-            answered = self.answer_stream(self, attempt, echoed)
-            if answered is not None:
-                return answered
         after = int(request.headers.get("last-event-id") or 0)
         echoed["content-type"] = "text/event-stream"
         return 200, echoed, self.write_events(self, attempt, after)
@@ -734,6 +757,7 @@
         self.version = 0
         self.cold_s = 0.0
         self.cold_per_s = 0.0
+        self.model_size = 2
         self._attempts = 0
         self._tasks = set()
         # A range of loopback addresses that another run hardly has.
@@ -773,7 +797,7 @@
             "models": [
                 {
                     "name": MODEL,
-                    "size": 2,
+                    "size": self.model_size,
                     "share": 1.0,
                     "pace": 1.0,
                     "load_s": 1.6,
@@ -840,12 +864,12 @@
             entry.start()
         for _ in range(300):
             await asyncio.sleep(0.1)
-            if await self._is_up(engines):
+            if await self._is_up(engines // self.model_size):
                 self.record.write("the deployment is up")
                 return
         raise CannotRun("the deployment did not come up")
 
-    async def _is_up(self, engines):
+    async def _is_up(self, groups):
         for entry in self.entries:
             if entry.process.poll() is not None:
                 raise CannotRun(f"{entry.name} has ended")
@@ -855,7 +879,7 @@
             bool(s.group) and s.group["state"] == "open"
             for s in self.servers.values()
         )
-        return heads == engines // 2
+        return heads == groups
 
     async def _beat(self):
         while True:
