Count events as relayed only with the whole block they are sent in

Cause: EventIdTracker.take counted each event as soon as its own id had been checked, but returns a block as a whole. When a later event was refused the block was dropped and the count stayed; the next attempt resumed there. The same class: events without an id or data inside a block with ids were passed on uncounted; the first event could have any id; EventCounter looked at a block's first line only.

Ruled out: attempts beside silent ones (they check a copy, the lead is taken without a pause), two hops (each entry counts what it relays).

Why it works: both trackers check a block event by event and change nothing before its last event is found sound, so what counts is what was sent.

--- a/src/sycamorespool/event_ids.py
+++ b/src/sycamorespool/event_ids.py
@@ -6,7 +6,28 @@
 from sycamorespool import exceptions
 from sycamorespool import relay
 
-EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)")
+# Lines of a field's name, a colon and its value, up to a blank line.
+_OTHER_FIELDS = rb"(?:(?!id:)[a-z0-9_-]*:[^\n]*\n)*"
+# An event with one id and at least one line of data.
+_EVENT = re.compile(
+    rb"(?=(?:[^\n]+\n)*data:)"
+    + _OTHER_FIELDS
+    + rb"id: ?([0-9]{1,18})\n"
+    + _OTHER_FIELDS
+    + rb"\n"
+)
+_COMMENT = re.compile(rb"(?::[^\n]*\n)+\n")
+_EVENT_ID = re.compile(r"[0-9]{1,18}")
+# Ids that the first event of a whole stream may have.
+_FIRST_IDS = frozenset((0, 1))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Progress:
+    """Holds the last event's id, if any, and the number of events."""
+
+    last_id: int | None
+    count: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,9 +47,27 @@
     last_id: int | None = None
     count: int = 0
     is_done: bool = False
+    _first_ids: frozenset[int] = _FIRST_IDS
     _held: bytes = b""
     _unnumbered_bytes: int = 0
 
+    def resume_after(self, last_event: str, is_resumable: bool) -> None:
+        """Expect the stream to begin after the last event of an earlier one.
+
+        Parameters
+        ----------
+        last_event : str
+            Id of the last event that the caller has; ignored if it is none.
+        is_resumable : bool
+            Whether the stream has to go on there.  It may also begin anew
+            otherwise.
+        """
+        if not _EVENT_ID.fullmatch(last_event):
+            return
+        next_id = int(last_event) + 1
+        others = frozenset() if is_resumable else _FIRST_IDS
+        self._first_ids = others | {next_id}
+
     def check_start(self, answer: relay.Source) -> None:
         """Accept any answer, as the event ids show where it continues."""
 
@@ -38,8 +77,9 @@
         Raises
         ------
         BackendCut
-            If an event is missing, repeated or too long, or if too many bytes
-            came without the id of an event.
+            If an event is missing, repeated, too long or has no id, or if too
+            many bytes came without an event.  Nothing of the chunk counts as
+            relayed then.
         """
         held = self._held + chunk if self._held else chunk
         end = held.rfind(relay.EVENT_END)
@@ -47,23 +87,43 @@
         block, self._held = held[:cut], held[cut:]
         if len(self._held) > relay.MAX_EVENT_BYTES:
             raise exceptions.BackendCut("an event is too long")
-        ids = EVENT_ID.findall(block)
-        for event_id in ids:
-            self._check_order(int(event_id))
+        # No event counts as relayed before all that are sent with it.
+        progress = self._check_block(block)
         self._unnumbered_bytes = (
-            0 if ids else (self._unnumbered_bytes + len(block))
+            0
+            if progress.count > self.count
+            else self._unnumbered_bytes + len(block)
         )
         if self._unnumbered_bytes > relay.MAX_EVENT_BYTES:
             raise exceptions.BackendCut("the events have no ids")
+        self.last_id, self.count = progress.last_id, progress.count
         return block
 
-    def _check_order(self, event_id: int) -> None:
-        if self.last_id is not None and event_id != self.last_id + 1:
+    def _check_block(self, block: bytes) -> _Progress:
+        """Return the progress after a block of whole events."""
+        progress = _Progress(self.last_id, self.count)
+        position = 0
+        while position < len(block):
+            found = _EVENT.match(block, position)
+            if found:
+                event_id = int(found[1])
+                self._check_order(progress.last_id, event_id)
+                progress = _Progress(event_id, progress.count + 1)
+            else:
+                found = _COMMENT.match(block, position)
+            if not found:
+                raise exceptions.BackendCut(
+                    "the stream has bytes that are no event with an id"
+                )
+            position = found.end()
+        return progress
+
+    def _check_order(self, last_id: int | None, event_id: int) -> None:
+        expected = self._first_ids if last_id is None else {last_id + 1}
+        if event_id not in expected:
             raise exceptions.BackendCut(
-                f"event {event_id} follows event {self.last_id}"
+                f"event {event_id} follows event {last_id}"
             )
-        self.last_id = event_id
-        self.count += 1
 
     def end(self) -> None:
         """Record that the answer ended.
--- a/src/sycamorespool/hosted_callers.py
+++ b/src/sycamorespool/hosted_callers.py
@@ -59,10 +59,11 @@
         context = self._context
         arrived_s = trio.current_time()
         target = asgi.make_request(scope).target
+        events = event_ids.EventIdTracker()
         caller_answer = relay.Relay(
             send,
             "",
-            event_ids.EventIdTracker(),
+            events,
             {},
             headers.select_answer_headers,
         )
@@ -75,6 +76,7 @@
             call = calls.find_call(context, request, arrived_s)
             if self._serves_peers:
                 call = self._accept_passed_on(call, scope)
+            events.resume_after(request.resume_after, call.route.is_resumable)
             await self._run(call, receive, caller_answer)
             self._count_served(call, caller_answer)
         except asgi.CallerGone:
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -11,6 +11,7 @@
 
 from collections import abc
 import dataclasses
+import re
 import typing as t
 
 import msgspec
@@ -25,8 +26,13 @@
 LATER_TOKEN = b"\n" + TOKEN
 DONE = b"data: [DONE]\n\n"
 LATER_DONE = EVENT_END + DONE
-# What a line of server-sent events may begin with.
-LINE_STARTS = (b"data:", b":", b"event:", b"id:", b"retry:")
+_FIELD = rb"(?:event|id|retry)?:[^\n]*\n"
+_DATA = rb"data:[^\n]*\n"
+# Server-sent events with at most one line of data each.
+_EVENTS = re.compile(
+    rb"(?:(?:(?:%(field)b)+(?:%(data)b(?:%(field)b)*)?"
+    rb"|%(data)b(?:%(field)b)*)\n)+" % {b"field": _FIELD, b"data": _DATA}
+)
 MAX_EVENT_BYTES = 256 * 1024
 # Size up to which an answer that is no stream is buffered as a whole.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -105,12 +111,14 @@
                 raise exceptions.BackendCut("an event is too long")
             if not block:
                 return b""
-        if not block.startswith(LINE_STARTS):
+        block, is_done = _cut_behind_done(block)
+        # No event counts as relayed before all that are sent with it.
+        if not _EVENTS.fullmatch(block):
             raise exceptions.BackendCut("the body is not server-sent events")
         # Line breaks inside an event's JSON are escaped, so only the
         # beginnings of data lines are counted.  A token's event has one.
         self.count += block.count(LATER_TOKEN) + block.startswith(TOKEN)
-        if block == DONE or block.endswith(LATER_DONE):
+        if is_done:
             self.count -= 1
             self.is_done = True
         return block
@@ -142,6 +150,16 @@
         self._partial_event = b""
 
 
+def _cut_behind_done(block: bytes) -> tuple[bytes, bool]:
+    """Drop what follows the last event; tell whether the block holds it."""
+    if block.startswith(DONE):
+        return DONE, True
+    found = block.find(LATER_DONE)
+    if found < 0:
+        return block, False
+    return block[: found + len(LATER_DONE)], True
+
+
 def _select_no_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
     return {}
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -94,3 +94,28 @@
         ]
         assert b"".join(pieces) == stream
         assert (events.count, events.is_done) == (3, True)
+
+    # Review 1 (ORDER): a block is checked as a whole before any of it counts.
+    @pytest.mark.parametrize(
+        "wrong",
+        [
+            b"HTTP/1.1 503 Busy\r\n\n",
+            b"overloaded\n\n",
+            b"data: a\ndata: b\n\n",
+            b"\n\n",
+        ],
+    )
+    def test_nothing_of_a_block_with_other_bytes_is_relayed(self, wrong):
+        events = relay.EventCounter()
+        events.take(TOKENS[0])
+        with pytest.raises(exceptions.BackendCut):
+            events.take(TOKENS[1] + wrong + TOKENS[2])
+        assert events.count == 1
+        events.drop_partial_event()
+        assert events.take(TOKENS[1]) == TOKENS[1]
+
+    def test_stream_ends_with_its_last_event(self):
+        events = relay.EventCounter()
+        block = TOKENS[0] + relay.DONE
+        assert events.take(block + TOKENS[1]) == block
+        assert (events.count, events.is_done) == (1, True)
