Decode all bytes from outside in one place that lets no error through

Cause: each decoder had a list of errors of its own, without RecursionError. It ended the follower of the registry, which was run again, met the same record and ended again. The same class: integers beyond 64 bits that fail when they are encoded or converted later, texts of thousands of digits, ports out of range in announcements, ids that fit no key or header, pages cut short, times that are no number.

Ruled out: the store's answers themselves; the pages were sound but for the record.

Why it works: decoding raises one error for whatever is wrong, and its types bound what is encoded, added up and connected to later. tasks_failed counts tasks that end, by name.

--- a/src/sycamorespool/backend_servers/control.py
+++ b/src/sycamorespool/backend_servers/control.py
@@ -4,6 +4,7 @@
 import msgspec
 import trio
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import models
@@ -22,8 +23,8 @@
     if answer.status != 200:
         raise exceptions.BackendCut(f"answered with status {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=models.ProbeReport)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(answer.body, models.ProbeReport)
+    except exceptions.Undecodable as error:
         raise exceptions.BackendCut(str(error)) from error
 
 
--- a/src/sycamorespool/backend_servers/probes.py
+++ b/src/sycamorespool/backend_servers/probes.py
@@ -7,9 +7,9 @@
 import typing as t
 
 import h11
-import msgspec
 import trio
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import models
 
@@ -117,12 +117,12 @@
         is_kept = False
         try:
             body = await _exchange(connection, address)
-            report = msgspec.json.decode(body, type=models.ProbeReport)
+            report = decoding.decode_json(body, models.ProbeReport)
             is_kept = _is_reusable(connection.http)
         except (
             trio.BrokenResourceError,
             h11.ProtocolError,
-            msgspec.DecodeError,
+            exceptions.Undecodable,
         ) as error:
             raise exceptions.BackendCut(str(error)) from error
         finally:
--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -14,6 +14,7 @@
 import sycamorespool
 from sycamorespool import command_parsing
 from sycamorespool import daemon
+from sycamorespool import decoding
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import hosted
@@ -162,8 +163,8 @@
             if is_stdin
             else pathlib.Path(file).read_bytes()
         )
-        return msgspec.json.decode(data, type=dict[str, t.Any])
-    except (OSError, msgspec.DecodeError) as error:
+        return decoding.decode_json(data, dict[str, t.Any])
+    except (OSError, exceptions.Undecodable) as error:
         raise exceptions.ConfigurationError(f"{file}: {error}") from error
 
 
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -19,6 +19,7 @@
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import routing
 from sycamorespool import environment
+from sycamorespool import event_counts
 from sycamorespool import exceptions
 from sycamorespool import invariants
 from sycamorespool import models
@@ -88,7 +89,7 @@
         TIMEOUT_HEADER: f"{end_s - trio.current_time():.3f}",
     }
     if from_token:
-        headers[relay.RESUME_HEADER] = str(from_token)
+        headers[event_counts.RESUME_HEADER] = str(from_token)
     outgoing = streaming_client.OutgoingRequest(
         grant.address,
         call.method,
--- a/src/sycamorespool/end_reports.py
+++ b/src/sycamorespool/end_reports.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sycamorespool.decisions import fatal_traits
+from sycamorespool import decoding
 from sycamorespool.platform import pages
 
 # An entry's reports of ends that the store keeps; the next one replaces the
@@ -51,17 +52,17 @@
 
 class _End(msgspec.Struct):
     vm: str
-    started_ms: int
+    started_ms: decoding.Count
     prompts: list[tuple[str, ...]]
-    at_ms: int
+    at_ms: decoding.Count
 
 
 class _Served(msgspec.Struct):
-    served_ms: dict[str, int]
+    served_ms: dict[str, decoding.Count]
 
 
 class _Block(msgspec.Struct):
-    until_ms: int
+    until_ms: decoding.Count
 
 
 def encode_end(
@@ -105,7 +106,7 @@
 
     Raises
     ------
-    msgspec.MsgspecError, UnicodeError
+    Undecodable
         If the report is not valid.
     """
     kind, _, name = record.key.partition("/")
@@ -118,7 +119,7 @@
 def _apply_end(
     state: fatal_traits.FatalTraits, name: str, value: bytes, clocks: Clocks
 ) -> None:
-    report = msgspec.json.decode(value, type=_End)
+    report = decoding.decode_json(value, _End)
     at_s = min(clocks.to_local_s(report.at_ms), clocks.local_s)
     if clocks.local_s - at_s > fatal_traits.WINDOW_S:
         return
@@ -131,7 +132,7 @@
 def _apply_served(
     state: fatal_traits.FatalTraits, name: str, value: bytes, clocks: Clocks
 ) -> None:
-    report = msgspec.json.decode(value, type=_Served)
+    report = decoding.decode_json(value, _Served)
     for part, at_ms in report.served_ms.items():
         at_s = min(clocks.to_local_s(at_ms), clocks.local_s)
         fatal_traits.note_reported_served(state, part, at_s)
@@ -140,7 +141,7 @@
 def _apply_block(
     state: fatal_traits.FatalTraits, part: str, value: bytes, clocks: Clocks
 ) -> None:
-    until_ms = msgspec.json.decode(value, type=_Block).until_ms
+    until_ms = decoding.decode_json(value, _Block).until_ms
     latest_s = clocks.local_s + fatal_traits.BLOCK_S
     until_s = min(clocks.to_local_s(until_ms), latest_s)
     fatal_traits.note_block(state, part, until_s)
--- a/src/sycamorespool/entries/frames.py
+++ b/src/sycamorespool/entries/frames.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from sycamorespool import decoding
 from sycamorespool.entries import messages
 from sycamorespool import exceptions
 
@@ -138,8 +139,8 @@
     if not hmac.compare_digest(data[:MAC_BYTES], _make_mac(codec, body)):
         raise exceptions.PeerRejected("frame is not authentic")
     try:
-        return _decoder.decode(body)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return decoding.decode(_decoder.decode, body)
+    except exceptions.Undecodable as error:
         raise exceptions.PeerRejected(str(error)) from error
 
 
--- a/src/sycamorespool/entry_announcements.py
+++ b/src/sycamorespool/entry_announcements.py
@@ -7,11 +7,13 @@
 import trio
 
 from sycamorespool.decisions import store_readers
+from sycamorespool import decoding
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
+from sycamorespool import sockets
 from sycamorespool import topic_follower
 
 # How long the store waits for a record.
@@ -27,6 +29,28 @@
 log = logs.make_logger("store")
 
 
+class _Announcement(msgspec.Struct):
+    address: str
+    data_centre: str
+    link_mbps: decoding.Amount = 0.0
+
+
+def _decode(value: bytes) -> store_readers.Entry:
+    """Decode an announcement.
+
+    Raises
+    ------
+    Undecodable
+        If it is not valid.
+    """
+    found = decoding.decode_json(value, _Announcement)
+    if not sockets.is_address(found.address):
+        raise exceptions.Undecodable("the address is no IP:port")
+    return store_readers.Entry(
+        found.address, found.data_centre, found.link_mbps
+    )
+
+
 def _apply_record(
     context: entry_context.EntryContext, record: pages.KeyedRecord
 ) -> None:
@@ -35,8 +59,8 @@
         entries.pop(record.key, None)
         return
     try:
-        found = msgspec.json.decode(record.value, type=store_readers.Entry)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+        found = _decode(record.value)
+    except exceptions.Undecodable as error:
         log.warning(
             "announcement of an entry is not valid, record skipped",
             entry=record.key,
--- a/src/sycamorespool/event_ids.py
+++ b/src/sycamorespool/event_ids.py
@@ -3,8 +3,8 @@
 import dataclasses
 import re
 
+from sycamorespool import event_counts
 from sycamorespool import exceptions
-from sycamorespool import relay
 
 # Lines of a field's name, a colon and its value, up to a blank line.
 _OTHER_FIELDS = rb"(?:(?!id:)[a-z0-9_-]*:[^\n]*\n)*"
@@ -68,7 +68,7 @@
         others = frozenset() if is_resumable else _FIRST_IDS
         self._first_ids = others | {next_id}
 
-    def check_start(self, answer: relay.Source) -> None:
+    def check_start(self, answer: event_counts.Source) -> None:
         """Accept any answer, as the event ids show where it continues."""
 
     def take(self, chunk: bytes) -> bytes:
@@ -82,10 +82,10 @@
             relayed then.
         """
         held = self._held + chunk if self._held else chunk
-        end = held.rfind(relay.EVENT_END)
-        cut = end + len(relay.EVENT_END) if end >= 0 else 0
+        end = held.rfind(event_counts.EVENT_END)
+        cut = end + len(event_counts.EVENT_END) if end >= 0 else 0
         block, self._held = held[:cut], held[cut:]
-        if len(self._held) > relay.MAX_EVENT_BYTES:
+        if len(self._held) > event_counts.MAX_EVENT_BYTES:
             raise exceptions.BackendCut("an event is too long")
         # No event counts as relayed before all that are sent with it.
         progress = self._check_block(block)
@@ -94,7 +94,7 @@
             if progress.count > self.count
             else self._unnumbered_bytes + len(block)
         )
-        if self._unnumbered_bytes > relay.MAX_EVENT_BYTES:
+        if self._unnumbered_bytes > event_counts.MAX_EVENT_BYTES:
             raise exceptions.BackendCut("the events have no ids")
         self.last_id, self.count = progress.last_id, progress.count
         return block
--- a/src/sycamorespool/exceptions.py
+++ b/src/sycamorespool/exceptions.py
@@ -8,6 +8,7 @@
     |   +-- SettingsFaults
     +-- ConfigurationError
     |   +-- PatchConflict
+    +-- Undecodable
     +-- ReplayError
     |   +-- SnapshotInvalid
     +-- PlatformError
@@ -99,6 +100,10 @@
         self.current_version = current_version
 
 
+class Undecodable(SycamorespoolError):
+    """Raised when bytes from outside are no value of the expected type."""
+
+
 class ReplayError(SycamorespoolError):
     """Raised when the records of the log cannot be replayed into a state."""
 
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -135,18 +135,22 @@
 
 
 async def _keep_running(
-    run_task: abc.Callable[..., abc.Awaitable[t.Any]], *args: t.Any
+    run_task: abc.Callable[..., abc.Awaitable[t.Any]],
+    context: entry_context.EntryContext,
+    *args: t.Any,
 ) -> None:
     """Run a task of the entry; run it again if it fails.
 
     An error in one task does not end the process, which would close the
     connections of all callers.
     """
+    name = f"{run_task.__module__.rpartition('.')[2]}.{run_task.__name__}"
     while True:
         try:
-            await run_task(*args)
+            await run_task(context, *args)
             return
         except Exception:
+            context.metrics.count("tasks_failed", name)
             logging.exception("entry: a task failed, it is run again")
         await trio.sleep(RESTART_PAUSE_S)
 
--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -105,11 +105,15 @@
     """
     pairs = {"content-type": "application/json", **(headers or {})}
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+    try:
+        target = httpcore.URL(url)
+    except ValueError as error:
+        raise NotReached(f"{url!r} cannot be called: {error}") from error
     try:
         with trio.fail_after(TIMEOUTS_PER_EXCHANGE * timeout_s):
             async with pool.stream(
                 method,
-                url,
+                target,
                 headers=pairs,
                 content=body,
                 extensions={"timeout": timeouts},
--- a/src/sycamorespool/keys/key_resolution.py
+++ b/src/sycamorespool/keys/key_resolution.py
@@ -9,6 +9,7 @@
 from sycamorespool import asgi
 from sycamorespool.decisions import key_attempts
 from sycamorespool.decisions import keys
+from sycamorespool import decoding
 from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
@@ -119,8 +120,8 @@
     send, so that a resolution as not run stays true.
     """
     try:
-        requested = msgspec.json.decode(body, type=KeyResolution)
-    except msgspec.DecodeError as error:
+        requested = decoding.decode_json(body, KeyResolution)
+    except exceptions.Undecodable as error:
         return _make_answer("invalid", str(error))
     partition = owner.find(requested.workspace, requested.key)
     name = (requested.workspace, requested.key)
--- a/src/sycamorespool/limit_reports.py
+++ b/src/sycamorespool/limit_reports.py
@@ -14,6 +14,7 @@
 import trio
 
 from sycamorespool.decisions import server_limits
+from sycamorespool import decoding
 from sycamorespool import entry_context
 from sycamorespool import logs
 from sycamorespool.platform import pages
@@ -28,8 +29,8 @@
 
 
 class _Report(msgspec.Struct):
-    per_s: float
-    started_ms: int
+    per_s: decoding.Amount
+    started_ms: decoding.Count
 
 
 def encode(backend_id: str, limit: server_limits.Limit | None) -> bytes:
@@ -47,14 +48,14 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    Undecodable
         If the report is not valid.
     """
     if not record.key.startswith(KEY_PREFIX):
         return
     limit = None
     if record.value is not None:
-        report = msgspec.json.decode(record.value, type=_Report)
+        report = decoding.decode_json(record.value, _Report)
         limit = server_limits.Limit(report.per_s, report.started_ms)
     backend_id = record.key.removeprefix(KEY_PREFIX)
     log.info(
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -205,6 +205,12 @@
         (),
         "Backend servers that say how many requests a second they take.",
     ),
+    "tasks_failed": Metric(
+        "counter",
+        "failures",
+        ("task",),
+        "Tasks of the entry that ended with an error and were run again.",
+    ),
     "server_ends": Metric(
         "counter",
         "servers",
--- a/src/sycamorespool/operators/client.py
+++ b/src/sycamorespool/operators/client.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import settings
@@ -124,8 +125,8 @@
             detail = response.content.decode(errors="replace")
             raise exceptions.OperatorRefused(response.status, detail)
         try:
-            return msgspec.json.decode(response.content)
-        except msgspec.DecodeError as error:
+            return decoding.decode(msgspec.json.decode, response.content)
+        except exceptions.Undecodable as error:
             raise exceptions.OperatorAnswerLost(
                 f"the answer of {address} is not JSON: {error}"
             ) from error
--- a/src/sycamorespool/operators/patches.py
+++ b/src/sycamorespool/operators/patches.py
@@ -4,6 +4,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool import decoding
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import records
@@ -52,8 +53,8 @@
 async def submit(env: environment.Environment, body: bytes) -> asgi.Response:
     """Append a patch to the log and answer with its verdict."""
     try:
-        request = msgspec.json.decode(body, type=PatchRequest)
-    except msgspec.DecodeError as error:
+        request = decoding.decode_json(body, PatchRequest)
+    except exceptions.Undecodable as error:
         return asgi.answer_json(PatchAnswer("invalid", "", str(error)))
     record = records.ConfigPatch(
         request.patch_id or environment.make_id(),
--- a/src/sycamorespool/peer_log.py
+++ b/src/sycamorespool/peer_log.py
@@ -17,6 +17,7 @@
 from sycamorespool.decisions import isolation
 from sycamorespool.decisions import membership
 from sycamorespool.decisions import snapshots
+from sycamorespool import decoding
 from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
@@ -178,7 +179,7 @@
         parts.append(reply.data)
     try:
         received = snapshots.from_snapshot(_unpack_snapshot(b"".join(parts)))
-    except (exceptions.SnapshotInvalid, msgspec.DecodeError, zlib.error):
+    except (exceptions.SnapshotInvalid, exceptions.Undecodable, zlib.error):
         log.warning("could not decode the state of a peer", entry=peer.vm)
         return
     newer = snapshots.choose_newer(env.fleet, received)
@@ -203,7 +204,7 @@
 
 def _unpack_snapshot(data: bytes) -> dict[str, t.Any]:
     unpacked = zlib.decompressobj().decompress(data, MAX_UNPACKED_BYTES)
-    return msgspec.msgpack.decode(unpacked, type=dict[str, t.Any])
+    return decoding.decode_msgpack(unpacked, dict[str, t.Any])
 
 
 async def _follow_peer(peer_log: PeerLog, peer: models.Vm) -> None:
--- a/src/sycamorespool/peer_probes.py
+++ b/src/sycamorespool/peer_probes.py
@@ -9,6 +9,7 @@
 
 import enum
 import typing as t
+import urllib.parse
 
 import trio
 
@@ -90,7 +91,8 @@
     address: str,
     backend: backends.Backend,
 ) -> Finding:
-    url = f"http://{address}{PATH}?vm={backend.backend_id}"
+    vm_id = urllib.parse.quote(backend.backend_id, safe="")
+    url = f"http://{address}{PATH}?vm={vm_id}"
     try:
         answer = await http_client.exchange(
             context.peer_pool, "GET", url, timeout_s=PEER_TIMEOUT_S
--- a/src/sycamorespool/peer_reads.py
+++ b/src/sycamorespool/peer_reads.py
@@ -14,6 +14,7 @@
 
 from sycamorespool import asgi
 from sycamorespool.decisions import store_readers
+from sycamorespool import decoding
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import http_client
@@ -39,9 +40,9 @@
         Timeline of the store to which their offsets belong.
     """
 
-    age_s: float
+    age_s: decoding.Amount
     records: list[bytes]
-    timeline: int = 0
+    timeline: decoding.Count = 0
 
 
 def make_app(context: entry_context.EntryContext) -> asgi.App:
@@ -65,11 +66,11 @@
 
 
 def _parse_position(request: asgi.Request) -> pages.Position | None:
-    timeline = request.query.get("timeline", "0")
-    offset = request.query.get("from", "")
-    if not (timeline.isdecimal() and offset.isdecimal()):
+    timeline = decoding.read_count(request.query.get("timeline", "0"))
+    offset = decoding.read_count(request.query.get("from", ""))
+    if timeline is None or offset is None:
         return None
-    return pages.Position(int(timeline), int(offset))
+    return pages.Position(timeline, offset)
 
 
 async def _fetch_from_peer(
@@ -99,8 +100,8 @@
     if answer.status != 200:
         raise exceptions.PeerRejected(f"the peer answered {answer.status}")
     try:
-        fetched = msgspec.msgpack.decode(answer.body, type=PeerRecords)
-    except msgspec.DecodeError as error:
+        fetched = decoding.decode_msgpack(answer.body, PeerRecords)
+    except exceptions.Undecodable as error:
         raise exceptions.PeerRejected(str(error)) from error
     if fetched.timeline != start.timeline:
         raise exceptions.PeerRejected(
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -7,6 +7,7 @@
 
 from sycamorespool import backends
 from sycamorespool import caller_request
+from sycamorespool import decoding
 
 ATTEMPT = "sycamorespool-attempt-id"
 DEADLINE = "sycamorespool-deadline-ms"
@@ -34,6 +35,12 @@
 # which is the request's own, is kept.
 MAX_PARTS = 32
 
+# Ids of parts stand in the keys of records.
+_PART_ID = re.compile(r"[0-9A-Fa-f]{1,64}")
+
+# The longest pause that a server may ask for.
+MAX_PAUSE_S = 60.0
+
 # A number that is not negative and has no more digits than a float can hold.
 _DECIMAL = re.compile(r"[0-9]{1,15}(\.[0-9]*)?|\.[0-9]+")
 
@@ -94,14 +101,10 @@
 
 def _read_parts(value: str) -> tuple[str, ...]:
     """Return the ids of a prompt's parts in one spelling, none if invalid."""
-    try:
-        parts = [
-            f"{int(entry.partition(':')[0], 16):x}"
-            for entry in value.split(",")
-            if entry
-        ]
-    except ValueError:
+    ids = [e.partition(":")[0].strip() for e in value.split(",") if e]
+    if not all(map(_PART_ID.fullmatch, ids)):
         return ()
+    parts = [f"{int(part_id, 16):x}" for part_id in ids]
     if len(parts) > MAX_PARTS:
         parts = [*parts[: MAX_PARTS - 1], parts[-1]]
     return tuple(parts)
@@ -165,7 +168,7 @@
     if workspace:
         headers[WORKSPACE] = workspace
     if priority is not None:
-        headers[PRIORITY] = str(min(priority, LOWEST_PRIORITY))
+        headers[PRIORITY] = str(min(max(0, priority), LOWEST_PRIORITY))
     if last_event:
         headers[RESUME_AFTER] = last_event
     return headers
@@ -205,9 +208,10 @@
     """Decode what another entry tells of a call; zeros if it is invalid."""
     value = dict(pairs).get(PASSED_ON.encode(), b"").decode("latin-1")
     runs, _, version = value.partition(",")
-    if not (runs.isdecimal() and version.isdecimal()):
+    counts = decoding.read_count(runs), decoding.read_count(version)
+    if None in counts:
         return PassedOn(0, 0)
-    return PassedOn(int(runs), int(version))
+    return PassedOn(*counts)
 
 
 def select_answer_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
@@ -249,8 +253,6 @@
 
 
 def _read_retry_after_s(value: str) -> float:
-    try:
-        seconds = float(value)
-    except ValueError:
+    if not _DECIMAL.fullmatch(value.strip()):
         return 0.0
-    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
+    return min(float(value), MAX_PAUSE_S)
--- a/src/sycamorespool/platform/log.py
+++ b/src/sycamorespool/platform/log.py
@@ -5,6 +5,7 @@
 import httpcore
 import msgspec
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import records
@@ -83,8 +84,8 @@
                 f"log append answered {answer.status}"
             )
         try:
-            return msgspec.json.decode(answer.body, type=_Appended).offsets
-        except msgspec.DecodeError as error:
+            return decoding.decode_json(answer.body, _Appended).offsets
+        except exceptions.Undecodable as error:
             raise exceptions.OutcomeLost(str(error)) from error
 
     async def read(
@@ -114,8 +115,8 @@
                 f"log read answered {answer.status}"
             )
         try:
-            page = msgspec.json.decode(answer.body, type=LogPage)
-        except msgspec.DecodeError as error:
+            page = decoding.decode_json(answer.body, LogPage)
+        except exceptions.Undecodable as error:
             raise exceptions.PlatformUnavailable(str(error)) from error
         if start < page.first:
             raise exceptions.RecordsExpired(page.first)
--- a/src/sycamorespool/platform/membership.py
+++ b/src/sycamorespool/platform/membership.py
@@ -3,6 +3,7 @@
 import httpcore
 import msgspec
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import models
@@ -46,12 +47,12 @@
         except (
             http_client.NotReached,
             http_client.ExchangeFailed,
-            msgspec.DecodeError,
+            exceptions.Undecodable,
         ) as error:
             raise exceptions.PlatformUnavailable(str(error)) from error
         return self._vms
 
     def _update(self, body: bytes) -> None:
-        listing = msgspec.json.decode(body, type=_Listing)
+        listing = decoding.decode_json(body, _Listing)
         self._vms = {vm.vm: vm for vm in listing.vms}
         self._body = body
--- a/src/sycamorespool/platform/pages.py
+++ b/src/sycamorespool/platform/pages.py
@@ -8,6 +8,9 @@
 import struct
 import typing as t
 
+from sycamorespool import decoding
+from sycamorespool import exceptions
+
 # Length in bytes before each record, and the offsets before a page's records.
 LENGTH = struct.Struct(">I")
 BOUNDS = struct.Struct(">QQ")
@@ -69,8 +72,8 @@
     for number, content in enumerate(page.records):
         size = content[0] if content else 0
         try:
-            key = content[1 : 1 + size].decode()
-        except UnicodeDecodeError:
+            key = decoding.decode(bytes.decode, content[1 : 1 + size])
+        except exceptions.Undecodable:
             continue
         value = content[1 + size :] or None
         records.append(KeyedRecord(page.start + number, key, value))
@@ -91,6 +94,8 @@
     while position < len(body):
         (size,) = LENGTH.unpack_from(body, position)
         position += LENGTH.size
+        if position + size > len(body):
+            raise struct.error("a record is cut short")
         records.append(body[position : position + size])
         position += size
     return Page(start, end, first, tuple(records))
--- a/src/sycamorespool/platform/store.py
+++ b/src/sycamorespool/platform/store.py
@@ -18,6 +18,7 @@
 import base64
 from collections import abc
 import dataclasses
+import functools
 import struct
 import typing as t
 import urllib.parse
@@ -25,12 +26,15 @@
 import httpcore
 import msgspec
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool.platform import pages
 
 CALL_TIMEOUT_S = 1.0
 MAX_PAGES = 10_000
+# A higher timeline is not valid: fencing numbers have no room for it.
+MAX_TIMELINE = 2**28
 TIMELINE_HEADER = "store-era"
 
 
@@ -62,29 +66,29 @@
 
 
 class _Appended(msgspec.Struct):
-    offset: int
-    end: int
+    offset: decoding.Count
+    end: decoding.Count
 
 
 class _Item(msgspec.Struct):
     key: str
-    offset: int
+    offset: decoding.Count
     value: str = ""
 
 
 class _Items(msgspec.Struct):
     items: list[_Item]
-    end: int
+    end: decoding.Count
     more: bool = False
 
 
 class _Expired(msgspec.Struct):
-    first: int = 0
+    first: decoding.Count = 0
 
 
 class _Joined(msgspec.Struct):
-    generation: int
-    parts: list[tuple[str, int, int]]
+    generation: decoding.Count
+    parts: list[tuple[str, decoding.Count, decoding.Integer]]
 
 
 class Store:
@@ -133,9 +137,9 @@
 
     def _note_timeline(self, name: str, answer: http_client.Response) -> None:
         text = answer.headers.get(TIMELINE_HEADER, "")
-        if not text.isdecimal():
+        timeline = decoding.read_count(text)
+        if timeline is None or timeline > MAX_TIMELINE:
             return
-        timeline = int(text)
         if timeline < self.newest_timeline:
             raise exceptions.OutcomeLost(
                 f"{name}: the answer is from before the store was restored"
@@ -304,10 +308,17 @@
             raise exceptions.PlatformUnavailable(f"leave: {answer.status}")
 
 
+_decode_base64 = functools.partial(base64.b64decode, validate=True)
+
+
 def _decode_item(item: _Item) -> pages.KeyedRecord:
-    return pages.KeyedRecord(
-        item.offset, item.key, base64.b64decode(item.value) or None
-    )
+    try:
+        value = decoding.decode(_decode_base64, item.value)
+    except exceptions.Undecodable as error:
+        raise exceptions.PlatformUnavailable(
+            f"newest: {item.key}: {error}"
+        ) from error
+    return pages.KeyedRecord(item.offset, item.key, value or None)
 
 
 _Decoded = t.TypeVar("_Decoded")
@@ -322,6 +333,6 @@
     if answer.status != expected_status:
         raise exceptions.PlatformUnavailable(f"{name}: {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=expected_type)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        return decoding.decode_json(answer.body, expected_type)
+    except exceptions.Undecodable as error:
         raise exceptions.OutcomeLost(f"{name}: {error}") from error
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -5,11 +5,13 @@
 """
 
 from collections import abc
+import re
 import typing as t
 
 import msgspec
 
 from sycamorespool import backends
+from sycamorespool import decoding
 from sycamorespool import exceptions
 from sycamorespool import routing_table
 from sycamorespool import sockets
@@ -29,9 +31,15 @@
 }
 
 
+# A server is cold for seconds; more than an hour is no valid time.
+_ColdMs = t.Annotated[float, msgspec.Meta(ge=-3.6e6, le=3.6e6)]
+# Ids are sent in headers and stand in the keys of records.
+_ID = re.compile(r"[!-~]{1,128}")
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: decoding.Amount
 
 
 class _Route(msgspec.Struct):
@@ -39,13 +47,13 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: decoding.Amount
     # The objective for the answer or, of a stream, for its first event.
-    slo_ms: float = 0.0
-    gap_aim_ms: float = 0.0
-    priority: int = 0
+    slo_ms: decoding.Amount = 0.0
+    gap_aim_ms: decoding.Amount = 0.0
+    priority: decoding.Integer = 0
     # Servers at which one request may run, not consecutive attempts.
-    max_attempts: int = 1
+    max_attempts: decoding.Count = 1
     public: bool = False
     resumable: bool = False
     service: str = ""
@@ -55,37 +63,37 @@
 
 class _Model(msgspec.Struct):
     name: str
-    size: int
-    pace: float = 1.0
-    share: float = 0.0
-    load_s: float = 0.0
-    warm_s: float = 0.0
+    size: decoding.Count
+    pace: decoding.Amount = 1.0
+    share: decoding.Amount = 0.0
+    load_s: decoding.Amount = 0.0
+    warm_s: decoding.Amount = 0.0
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: decoding.Count
     models: tuple[_Model, ...] = ()
-    loads_per_s: float = 0.0
-    form_ms: float = 0.0
+    loads_per_s: decoding.Amount = 0.0
+    form_ms: decoding.Amount = 0.0
 
 
 class _Service(msgspec.Struct):
     name: str
     health_path: str = "/health"
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_s: decoding.Amount = 0.0
+    cold_per_s: decoding.Amount = 0.0
     engine: _Engine | None = None
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: decoding.Integer | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: decoding.Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     tenants: tuple[_Tenant, ...] | None = None
@@ -94,8 +102,8 @@
 class _Member(msgspec.Struct):
     # Absent or empty if the server belongs to no group.
     name: str
-    epoch: int
-    rank: int
+    epoch: decoding.Count
+    rank: decoding.Count
     state: t.Literal["joining", "ready", "open", "closing", "broken"]
 
 
@@ -104,25 +112,25 @@
     address: str
     zone: str
     state: t.Literal["ready", "draining"]
-    slots: int = 1
-    cold_left_ms: float = 0.0
+    slots: decoding.Count = 1
+    cold_left_ms: _ColdMs = 0.0
     # A count of heartbeats here, but of orders in a report.
-    sequence: int = 0
-    domain: str | int | None = None
+    sequence: decoding.Count = 0
+    domain: str | decoding.Integer | None = None
     staged: tuple[str, ...] = ()
     group: _Member | None = None
-    born: int = 0
+    born: decoding.Count = 0
 
 
 class _Report(msgspec.Struct):
-    sequence: int = 0
+    sequence: decoding.Count = 0
     busy: bool = False
-    queued: int = 0
-    running: int = 0
-    pace: float = 1.0
+    queued: decoding.Count = 0
+    running: decoding.Count = 0
+    pace: decoding.Amount = 1.0
     staged: tuple[str, ...] = ()
     group: _Member | None = None
-    born: int = 0
+    born: decoding.Count = 0
 
 
 def _decode_route(route: _Route) -> routing_table.Route:
@@ -175,9 +183,9 @@
         If the value is no valid configuration.
     """
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decoding.decode_json(value, _Config)
         routes = [_decode_route(route) for route in config.routes]
-    except (msgspec.MsgspecError, UnicodeError, KeyError) as error:
+    except (exceptions.Undecodable, KeyError) as error:
         raise exceptions.ConfigurationError(str(error)) from error
     by_host: dict[str, list[routing_table.Route]] = {}
     for route in sorted(routes, key=lambda r: -len(r.prefix)):
@@ -210,10 +218,11 @@
 def decode_backend(backend_id: str, value: bytes) -> backends.Backend | None:
     """Decode a registry entry; return None if it is not valid."""
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeError):
+        entry = decoding.decode_json(value, _Entry)
+    except exceptions.Undecodable:
         return None
-    if not sockets.is_address(entry.address):
+    is_id = _ID.fullmatch(backend_id) is not None
+    if not is_id or not sockets.is_address(entry.address):
         return None
     domain = "" if entry.domain is None else str(entry.domain)
     return backends.Backend(
@@ -241,8 +250,8 @@
         If the value is no valid report.
     """
     try:
-        report = msgspec.json.decode(value, type=_Report)
-    except (msgspec.MsgspecError, UnicodeError) as error:
+        report = decoding.decode_json(value, _Report)
+    except exceptions.Undecodable as error:
         raise exceptions.BackendCut(
             f"the report is not valid: {error}"
         ) from error
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -11,155 +11,21 @@
 
 from collections import abc
 import dataclasses
-import re
-import typing as t
 
 import msgspec
 import trio
 
 from sycamorespool import asgi
+from sycamorespool import decoding
+from sycamorespool import event_counts
 from sycamorespool import exceptions
 
 EVENT_STREAM = "text/event-stream"
-EVENT_END = b"\n\n"
-TOKEN = b"data:"
-LATER_TOKEN = b"\n" + TOKEN
-DONE = b"data: [DONE]\n\n"
-LATER_DONE = EVENT_END + DONE
-_FIELD = rb"(?:event|id|retry)?:[^\n]*\n"
-_DATA = rb"data:[^\n]*\n"
-# Server-sent events with at most one line of data each.
-_EVENTS = re.compile(
-    rb"(?:(?:(?:%(field)b)+(?:%(data)b(?:%(field)b)*)?"
-    rb"|%(data)b(?:%(field)b)*)\n)+" % {b"field": _FIELD, b"data": _DATA}
-)
-MAX_EVENT_BYTES = 256 * 1024
 # Size up to which an answer that is no stream is buffered as a whole.
 MAX_BUFFERED_BYTES = 1024 * 1024
-RESUME_HEADER = "x-resume-from-token"
 REQUEST_ID_HEADER = "x-request-id"
 
 
-class Source(t.Protocol):
-    """Holds an answer of a backend server that is being read."""
-
-    status: int
-    headers: dict[str, str]
-
-    async def read(self) -> bytes:
-        """Return the next bytes of the body, or none at its end."""
-
-    async def finish(self) -> None:
-        """Read the rest of the body, if its end comes soon."""
-
-
-class EventTracker(t.Protocol):
-    """Tracks the events of a stream that were relayed to the caller."""
-
-    count: int
-    is_done: bool
-
-    def check_start(self, answer: Source) -> None:
-        """Raise BackendCut if an answer does not begin at the next event."""
-
-    def take(self, chunk: bytes) -> bytes:
-        """Take a chunk of the stream and return the complete events."""
-
-    def end(self) -> None:
-        """Handle the end of the body; raise BackendCut if it is early."""
-
-    def drop_partial_event(self) -> None:
-        """Drop the beginning of an event, which was not relayed."""
-
-
-@dataclasses.dataclass(slots=True)
-class EventCounter:
-    """Counts the events of a streamed completion.
-
-    Parameters
-    ----------
-    count : int
-        Complete events with data so far, each of which is one token.
-    is_done : bool
-        Whether the last event, ``[DONE]``, was among them.
-    """
-
-    count: int = 0
-    is_done: bool = False
-    _partial_event: bytes = b""
-
-    def take(self, chunk: bytes) -> bytes:
-        """Take a chunk of the stream and return the complete events.
-
-        The beginning of an event is held back until its end comes.
-
-        Raises
-        ------
-        BackendCut
-            If the bytes are not server-sent events, or an event is longer
-            than ``MAX_EVENT_BYTES``.
-        """
-        if self._partial_event:
-            chunk = self._partial_event + chunk
-        if chunk.endswith(EVENT_END):
-            block, self._partial_event = chunk, b""
-        else:
-            end = chunk.rfind(EVENT_END)
-            cut = end + len(EVENT_END) if end >= 0 else 0
-            block, self._partial_event = chunk[:cut], chunk[cut:]
-            if len(self._partial_event) > MAX_EVENT_BYTES:
-                raise exceptions.BackendCut("an event is too long")
-            if not block:
-                return b""
-        block, is_done = _cut_behind_done(block)
-        # No event counts as relayed before all that are sent with it.
-        if not _EVENTS.fullmatch(block):
-            raise exceptions.BackendCut("the body is not server-sent events")
-        # Line breaks inside an event's JSON are escaped, so only the
-        # beginnings of data lines are counted.  A token's event has one.
-        self.count += block.count(LATER_TOKEN) + block.startswith(TOKEN)
-        if is_done:
-            self.count -= 1
-            self.is_done = True
-        return block
-
-    def check_start(self, answer: Source) -> None:
-        """Check that a stream begins at the next token.
-
-        Raises
-        ------
-        BackendCut
-            If it begins at another token.
-        """
-        start = answer.headers.get(RESUME_HEADER, "0")
-        if start != str(self.count):
-            raise exceptions.BackendCut(f"the stream begins at token {start}")
-
-    def end(self) -> None:
-        """Handle the end of a body that had no ``[DONE]`` event.
-
-        Raises
-        ------
-        BackendCut
-            Always, as the last event is missing.
-        """
-        raise exceptions.BackendCut("the stream ended without its last event")
-
-    def drop_partial_event(self) -> None:
-        """Drop the beginning of an event, which was not relayed."""
-        self._partial_event = b""
-
-
-def _cut_behind_done(block: bytes) -> tuple[bytes, bool]:
-    """Drop what follows the last event; tell whether the block holds it."""
-    if block.startswith(DONE):
-        return DONE, True
-    found = block.find(LATER_DONE)
-    if found < 0:
-        return block, False
-    return block[: found + len(LATER_DONE)], True
-
-
 def _select_no_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
     return {}
 
@@ -173,7 +39,7 @@
         Sends a part of the answer to the caller.
     request_id : str
         Id of the request.
-    events : EventTracker, optional
+    events : event_counts.EventTracker, optional
         Tracks the events of a stream; by default their number.
     headers : dict, optional
         Headers of every answer; by default one with the request's id.
@@ -183,7 +49,7 @@
 
     Attributes
     ----------
-    events : EventTracker
+    events : event_counts.EventTracker
         What was relayed of a stream.
     status : int
         Status that was sent to the caller, 0 before that.
@@ -200,14 +66,14 @@
         self,
         send: asgi.Send,
         request_id: str,
-        events: EventTracker | None = None,
+        events: event_counts.EventTracker | None = None,
         headers: dict[str, str] | None = None,
         select_headers: abc.Callable[
             [abc.Mapping[str, str]], dict[str, str]
         ] = _select_no_headers,
     ) -> None:
-        self.events: EventTracker = (
-            EventCounter() if events is None else events
+        self.events: event_counts.EventTracker = (
+            event_counts.EventCounter() if events is None else events
         )
         self.status = 0
         self.is_started = False
@@ -234,7 +100,7 @@
         self.is_whole = True
         self.last_s = trio.current_time()
 
-    async def copy_events(self, answer: Source) -> None:
+    async def copy_events(self, answer: event_counts.Source) -> None:
         """Relay a stream of events, from the first that was not yet sent.
 
         Raises
@@ -269,7 +135,7 @@
         events.drop_partial_event()
         return bool(events.take(data))
 
-    def check_start(self, answer: Source) -> None:
+    def check_start(self, answer: event_counts.Source) -> None:
         """Check that an answer is a stream that begins at the next event.
 
         Raises
@@ -284,7 +150,9 @@
             )
         self.events.check_start(answer)
 
-    async def copy_whole(self, answer: Source, is_json: bool) -> None:
+    async def copy_whole(
+        self, answer: event_counts.Source, is_json: bool
+    ) -> None:
         """Relay an answer that is not a stream, as a whole or not at all.
 
         Only an answer over ``MAX_BUFFERED_BYTES`` is relayed while it arrives.
@@ -310,7 +178,11 @@
         await self._send_part(answer, content_type, body, False)
 
     async def _send_part(
-        self, answer: Source, content_type: str, body: bytes, has_more: bool
+        self,
+        answer: event_counts.Source,
+        content_type: str,
+        body: bytes,
+        has_more: bool,
     ) -> None:
         if not self.is_started:
             selected = {
@@ -358,8 +230,8 @@
 
 def _check_json(body: bytes) -> None:
     try:
-        msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        decoding.decode(msgspec.json.decode, body)
+    except exceptions.Undecodable as error:
         raise exceptions.BackendCut("the answer is not JSON") from error
 
 
--- a/src/sycamorespool/report.py
+++ b/src/sycamorespool/report.py
@@ -13,8 +13,8 @@
 import pathlib
 import typing as t
 
-import msgspec
 
+from sycamorespool import decoding
 from sycamorespool import exceptions
 
 DPI = 110
@@ -261,12 +261,12 @@
     """
     try:
         data = pathlib.Path(results_file).read_bytes()
-        page = make_page(msgspec.json.decode(data, type=dict[str, t.Any]))
+        page = make_page(decoding.decode_json(data, dict[str, t.Any]))
         pathlib.Path(page_file).write_text(page, encoding="utf-8")
     except OSError as error:
         raise exceptions.SettingsError(
             "command", "report", str(error)
         ) from error
-    except (msgspec.DecodeError, AttributeError, ValueError) as error:
+    except (exceptions.Undecodable, AttributeError, ValueError) as error:
         problem = f"{results_file} is not a results file: {error}"
         raise exceptions.SettingsError("command", "report", problem) from error
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -15,7 +15,6 @@
 import time
 import typing as t
 
-import msgspec
 import trio
 
 from sycamorespool import attempts
@@ -196,7 +195,7 @@
                 limit_reports.apply(
                     self._context.limits, record, entry_context.boot_time_s()
                 )
-            except (msgspec.MsgspecError, UnicodeError) as error:
+            except exceptions.Undecodable as error:
                 log.warning(
                     "report of servers is not valid, record skipped",
                     offset=record.offset,
--- a/tests/test_event_ids.py
+++ b/tests/test_event_ids.py
@@ -1,8 +1,8 @@
 import pytest
 
+from sycamorespool import event_counts
 from sycamorespool import event_ids
 from sycamorespool import exceptions
-from sycamorespool import relay
 
 
 def make_event(number):
@@ -82,7 +82,7 @@
 
     def test_event_that_is_too_long_does_not_hide_those_before_it(self):
         events = event_ids.EventIdTracker()
-        start = b"id: 2\ndata: " + b"t" * relay.MAX_EVENT_BYTES
+        start = b"id: 2\ndata: " + b"t" * event_counts.MAX_EVENT_BYTES
         with pytest.raises(exceptions.BackendCut):
             events.take(make_event(1) + start)
         assert (events.last_id, events.count) == (None, 0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from sycamorespool import event_counts
 from sycamorespool import exceptions
 from sycamorespool import relay
 
@@ -14,7 +15,7 @@
     b'event: x\ndata: {"data:": 1}\n\n',
     b'data: {"c": "[DONE]"}\n\n',
 ]
-TOKENS = [event for event in EVENTS if event.startswith(relay.TOKEN)]
+TOKENS = [event for event in EVENTS if event.startswith(event_counts.TOKEN)]
 
 
 class Source:
@@ -25,9 +26,9 @@
     def __init__(self, start, cut, sizes):
         self.headers = {
             "content-type": relay.EVENT_STREAM,
-            relay.RESUME_HEADER: str(start),
+            event_counts.RESUME_HEADER: str(start),
         }
-        body = b"".join([*TOKENS[start:], relay.DONE])
+        body = b"".join([*TOKENS[start:], event_counts.DONE])
         self._body = body[:cut]
         self._sizes = iter(sizes)
 
@@ -71,23 +72,25 @@
         messages = relay_stream(cuts, sizes)
         assert [m["type"] for m in messages].count("http.response.start") == 1
         bodies = [m["body"] for m in messages[1:]]
-        assert b"".join(bodies) == b"".join([*TOKENS, relay.DONE])
+        assert b"".join(bodies) == b"".join([*TOKENS, event_counts.DONE])
         assert [m["more_body"] for m in messages[1:]].count(False) == 1
 
     def test_kept_partial_event_corrupts_the_answer(self, monkeypatch):
         monkeypatch.setattr(
-            relay.EventCounter, "drop_partial_event", lambda events: None
+            event_counts.EventCounter,
+            "drop_partial_event",
+            lambda events: None,
         )
         messages = relay_stream([len(TOKENS[0]) + 9], [])
         body = b"".join(m.get("body", b"") for m in messages)
-        assert body != b"".join([*TOKENS, relay.DONE])
+        assert body != b"".join([*TOKENS, event_counts.DONE])
 
 
 class TestEventCounter:
     @pytest.mark.parametrize("size", range(1, 40))
     def test_count_does_not_depend_on_the_pieces(self, size):
-        events = relay.EventCounter()
-        stream = b"".join([*EVENTS, relay.DONE])
+        events = event_counts.EventCounter()
+        stream = b"".join([*EVENTS, event_counts.DONE])
         pieces = [
             events.take(stream[at : at + size])
             for at in range(0, len(stream), size)
@@ -106,16 +109,16 @@
         ],
     )
     def test_nothing_of_a_block_with_other_bytes_is_relayed(self, wrong):
-        events = relay.EventCounter()
+        events = event_counts.EventCounter()
         events.take(TOKENS[0])
         with pytest.raises(exceptions.BackendCut):
-            events.take(TOKENS[1] + wrong + TOKENS[2])
+            events.take(TOKENS[1] + wrong + TOKENS[0])
         assert events.count == 1
         events.drop_partial_event()
         assert events.take(TOKENS[1]) == TOKENS[1]
 
     def test_stream_ends_with_its_last_event(self):
-        events = relay.EventCounter()
-        block = TOKENS[0] + relay.DONE
+        events = event_counts.EventCounter()
+        block = TOKENS[0] + event_counts.DONE
         assert events.take(block + TOKENS[1]) == block
         assert (events.count, events.is_done) == (1, True)
