Let no record that is written late bring back what has ended

Cause: apply_entry compared an entry only with the start of a server that it still knew, not with the number of the heartbeat, and not with servers that were dropped lately. The same class: announcements of former processes, reports that end or raise a limit, reports from before a block was lifted.

Ruled out: repeated calls of the store; an entry out of touch.

The new tests of the registry fail without the change.

Why it works: records of one writer are ordered by its own numbers, so that the order in which the store carries them out no longer matters.

--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -133,6 +133,8 @@
         Until when a trait is blocked.
     reported_blocks : set
         The blocked traits that some entry has reported.
+    lifted_s : dict
+        When the block of a trait was lifted lately.
     """
 
     ends: dict[ServerKey, _SeenEnd] = dataclasses.field(default_factory=dict)
@@ -143,6 +145,7 @@
     holds: dict[str, _Hold] = dataclasses.field(default_factory=dict)
     blocked_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     reported_blocks: set[str] = dataclasses.field(default_factory=set)
+    lifted_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def find_review_due_s(self) -> float:
         """Return when a trait is to be blocked without any further report."""
@@ -196,6 +199,8 @@
     seen = state.ends.setdefault(key, _SeenEnd(at_s))
     for prompt in end.prompts:
         for depth, trait in enumerate(prompt):
+            if at_s <= state.lifted_s.get(trait, -math.inf):
+                continue
             seen.depths[trait] = max(depth, seen.depths.get(trait, 0))
     if len(state.ends) > MAX_ENDS:
         del state.ends[next(iter(state.ends))]
@@ -217,17 +222,23 @@
 
 
 def note_block(state: FatalTraits, trait: str, until_s: float) -> None:
-    """Record the report that an entry has blocked a trait."""
+    """Record the report that an entry has blocked a trait.
+
+    A report from before the block was lifted may be written late.
+    """
+    if until_s - BLOCK_S <= state.lifted_s.get(trait, -math.inf):
+        return
     known_s = state.blocked_until_s.get(trait, -math.inf)
     state.blocked_until_s[trait] = max(known_s, until_s)
     state.reported_blocks.add(trait)
 
 
-def lift_block(state: FatalTraits, trait: str) -> None:
+def lift_block(state: FatalTraits, trait: str, now_s: float) -> None:
     """Record that an operator has lifted the block of a trait.
 
     The ends that it explained then count for no other trait either.
     """
+    state.lifted_s[trait] = now_s
     state.blocked_until_s.pop(trait, None)
     state.reported_blocks.discard(trait)
     state.holds.pop(trait, None)
@@ -275,6 +286,11 @@
         if until_s > now_s
     }
     state.reported_blocks &= state.blocked_until_s.keys()
+    state.lifted_s = {
+        trait: at_s
+        for trait, at_s in state.lifted_s.items()
+        if now_s - at_s <= WINDOW_S
+    }
 
 
 def _count_ends(
--- a/src/sycamorespool/decisions/registry.py
+++ b/src/sycamorespool/decisions/registry.py
@@ -1,15 +1,18 @@
 """Holds the backend servers known to an entry, from the platform's registry.
 
-Registry entries are applied in the order of the platform's log.  A server
-whose registry entry is removed right after an outage of the registry is
-kept for a short time, since a server that is alive registers again by
-itself::
+Registry entries are applied in the order of the platform's log, but for those
+that are older than what is known of their server: a heartbeat without an
+answer may be written seconds later, after newer ones and after the server has
+left.  A server whose registry entry is removed right after an outage of the
+registry is kept for a short time, since a server that is alive registers
+again by itself::
 
     apply_entry(registry, "i-1", backend, now_s)
     groups = registry.groups_of("drafts")
 """
 
 import collections
+from collections import abc
 import dataclasses
 import math
 import typing as t
@@ -21,7 +24,7 @@
 # A removal this soon after an outage may be an effect of the outage.
 POST_OUTAGE_S = 5.0
 # How long a removed server is remembered.  A copy from which the platform's
-# store is restored is not older than this.
+# store is restored is not older than this, and no entry is written later.
 REMOVED_KEEP_S = 60.0
 
 
@@ -154,14 +157,18 @@
     backend_id: str,
     backend: backends.Backend | None,
     now_s: float,
-) -> None:
-    """Apply a new registry entry, or its removal if ``backend`` is None."""
+) -> bool:
+    """Apply a new registry entry, or its removal if ``backend`` is None.
+
+    Return False for an entry that is older than what is known of the server,
+    which changes nothing.
+    """
     if backend is None:
         _remove(registry, backend_id, now_s)
-        return
+        return True
+    if _is_outdated(registry, backend):
+        return False
     before = registry.servers.get(backend_id)
-    if before is not None and backend.started_ms < before.started_ms:
-        return
     registry.last_heartbeat_s[backend_id] = now_s
     registry.removal_due_s.pop(backend_id, None)
     if backend.cold_left_s > 0:
@@ -169,6 +176,7 @@
     registry.servers[backend_id] = backend
     if before is None or not _is_heartbeat(before, backend):
         registry.generation += 1
+    return True
 
 
 def _is_heartbeat(before: backends.Backend, after: backends.Backend) -> bool:
@@ -222,17 +230,24 @@
 
 
 def _is_outdated(registry: Registry, backend: backends.Backend) -> bool:
-    """Tell whether an entry is not newer than what is known of its server."""
+    """Tell whether an entry is older than what is known of its server.
+
+    That of a server that was dropped has to be newer than its last one.
+    """
     known = registry.servers.get(backend.backend_id)
     if known is not None:
-        return _instant(backend) <= _instant(known)
+        # Servers write a repeated heartbeat unchanged, but no process that
+        # drains becomes ready again.
+        if known.is_draining:
+            return _instant(backend) <= _instant(known)
+        return _instant(backend) < _instant(known)
     removed = registry.removed.get(backend.backend_id)
     return removed is not None and _instant(backend) <= removed.last
 
 
 def apply_restored(
     registry: Registry,
-    entries: dict[str, backends.Backend],
+    entries: abc.Mapping[str, backends.Backend | None],
     now_s: float,
 ) -> None:
     """Apply a full listing of a registry that was restored from a copy.
@@ -246,22 +261,36 @@
     for backend_id in list(registry.servers):
         if backend_id not in entries:
             _remove(registry, backend_id, now_s)
-    for backend_id, backend in entries.items():
-        if not _is_outdated(registry, backend):
-            apply_entry(registry, backend_id, backend, now_s)
+    _apply_newer(registry, entries, now_s)
 
 
 def replace_all(
     registry: Registry,
-    entries: dict[str, backends.Backend],
+    entries: abc.Mapping[str, backends.Backend | None],
     now_s: float,
 ) -> None:
-    """Apply a full listing of the registry, after its log expired."""
+    """Apply a full listing of the registry, after its log expired.
+
+    Parameters
+    ----------
+    entries : mapping
+        The newest entry by id, None for one that cannot be read and changes
+        nothing.
+    """
     for backend_id in list(registry.servers):
         if backend_id not in entries:
             _remove(registry, backend_id, now_s)
+    _apply_newer(registry, entries, now_s)
+
+
+def _apply_newer(
+    registry: Registry,
+    entries: abc.Mapping[str, backends.Backend | None],
+    now_s: float,
+) -> None:
     for backend_id, backend in entries.items():
-        apply_entry(registry, backend_id, backend, now_s)
+        if backend is not None:
+            apply_entry(registry, backend_id, backend, now_s)
 
 
 def list_members(
--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -32,6 +32,9 @@
 # The former holder of a partition learns by its next call, or by the end of
 # its lease, that it has lost it.
 HANDOVER_S = 2.6
+# What this entry has seen this lately goes before reports that end or raise a
+# limit, as these may be written late.
+SEEN_S = 2.0
 # A limit that differs less from what all entries know is not reported again.
 REPORTED_RATIO = 1.1
 
@@ -64,11 +67,14 @@
         Start of the process, Unix milliseconds.
     sent_s : float
         When the request was sent whose answer named it.
+    is_seen : bool
+        Whether that was a request of this entry, and no report.
     """
 
     per_s: float
     started_ms: int
     sent_s: float = -math.inf
+    is_seen: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -176,7 +182,7 @@
         state.limits.pop(backend_id, None)
         state._buckets.pop(backend_id, None)
         return known is not None
-    limit = Limit(answer.per_s, started_ms, answer.sent_s)
+    limit = Limit(answer.per_s, started_ms, answer.sent_s, is_seen=True)
     _set_limit(state, backend_id, limit, now_s)
     return known is None or known.per_s != limit.per_s
 
@@ -185,17 +191,30 @@
     state: ServerLimits, backend_id: str, limit: Limit | None, now_s: float
 ) -> None:
     """Record what another entry reports of a server, None for no limit."""
+    known = state.limits.get(backend_id)
     if limit is None:
         state.reported.pop(backend_id, None)
-        state.limits.pop(backend_id, None)
-        state._buckets.pop(backend_id, None)
+        # The report may be from before the limit, and come late.
+        if known is None or not _is_seen(known, now_s):
+            state.limits.pop(backend_id, None)
+            state._buckets.pop(backend_id, None)
+        return
+    if known is not None and known.started_ms > limit.started_ms:
         return
     state.reported[backend_id] = limit
+    is_seen = known is not None and _is_seen(known, now_s)
+    if is_seen and limit.per_s >= known.per_s:
+        return
     _set_limit(
         state, backend_id, dataclasses.replace(limit, sent_s=now_s), now_s
     )
 
 
+def _is_seen(limit: Limit, now_s: float) -> bool:
+    """Tell whether an answer to this entry has named a limit lately."""
+    return limit.is_seen and now_s - limit.sent_s < SEEN_S
+
+
 def _set_limit(
     state: ServerLimits, backend_id: str, limit: Limit, now_s: float
 ) -> None:
--- a/src/sycamorespool/decisions/store_readers.py
+++ b/src/sycamorespool/decisions/store_readers.py
@@ -35,11 +35,14 @@
         Data centre where it runs.
     link_mbps : float
         Bandwidth of its VM's link in Mbit/s.
+    number : int
+        Orders the announcements of one entry; 0 if it does not count them.
     """
 
     address: str
     data_centre: str
     link_mbps: float = 0.0
+    number: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +66,18 @@
     last_followed_s: float = -math.inf
 
 
+def note_announced(directory: EntryDirectory, name: str, entry: Entry) -> bool:
+    """Record an announcement; ignore one that was written late.
+
+    Return whether it is in force.
+    """
+    known = directory.entries.get(name)
+    if known is not None and 0 < entry.number < known.number:
+        return False
+    directory.entries[name] = entry
+    return True
+
+
 def choose(
     directory: EntryDirectory, own_name: str, now_s: float
 ) -> str | None:
--- a/src/sycamorespool/end_reports.py
+++ b/src/sycamorespool/end_reports.py
@@ -111,7 +111,7 @@
     """
     kind, _, name = record.key.partition("/")
     if kind == _BLOCK and record.value is None:
-        fatal_traits.lift_block(state, name)
+        fatal_traits.lift_block(state, name, clocks.local_s)
     elif kind in _APPLIERS and record.value is not None:
         _APPLIERS[kind](state, name, record.value, clocks)
 
--- a/src/sycamorespool/entry_announcements.py
+++ b/src/sycamorespool/entry_announcements.py
@@ -1,7 +1,7 @@
 """Announces this entry to the others and follows their announcements."""
 
+import dataclasses
 import functools
-import typing as t
 
 import msgspec
 import trio
@@ -33,6 +33,7 @@
     address: str
     data_centre: str
     link_mbps: decoding.Amount = 0.0
+    number: decoding.Count = 0
 
 
 def _decode(value: bytes) -> store_readers.Entry:
@@ -47,82 +48,131 @@
     if not sockets.is_address(found.address):
         raise exceptions.Undecodable("the address is no IP:port")
     return store_readers.Entry(
-        found.address, found.data_centre, found.link_mbps
+        found.address, found.data_centre, found.link_mbps, found.number
     )
 
 
-def _apply_record(
-    context: entry_context.EntryContext, record: pages.KeyedRecord
-) -> None:
-    entries = context.entry_directory.entries
-    if record.value is None:
-        entries.pop(record.key, None)
-        return
-    try:
-        found = _decode(record.value)
-    except exceptions.Undecodable as error:
-        log.warning(
-            "announcement of an entry is not valid, record skipped",
-            entry=record.key,
-            error=error,
-        )
-        return
-    entries[record.key] = found
+@dataclasses.dataclass(slots=True)
+class _Announcer:
+    """Announces this entry, and again if another announcement replaced it.
 
+    An announcement of its former process may be written late, over its own.
 
-async def _announce(context: entry_context.EntryContext) -> None:
-    """Announce this entry's address in the store; retry until it works."""
-    own = store_readers.Entry(
-        context.settings.listen.peers,
-        context.settings.entry.data_centre,
-        context.settings.entry.link_mbps,
-    )
-    content = pages.encode_keyed(context.name, msgspec.json.encode(own))
-    while True:
+    Parameters
+    ----------
+    number : int
+        Number of its newest announcement, the start of the process if there
+        was no higher one.
+    is_replaced : bool
+        Whether the newest announcement under its name is not its own.
+    """
+
+    context: entry_context.EntryContext
+    number: int
+    is_replaced: bool = False
+
+    def make_entry(self) -> store_readers.Entry:
+        """Return what this entry announces."""
+        settings = self.context.settings
+        return store_readers.Entry(
+            settings.listen.peers,
+            settings.entry.data_centre,
+            settings.entry.link_mbps,
+            self.number,
+        )
+
+    async def announce(self) -> None:
+        """Announce this entry's address in the store; retry until it works."""
+        content = pages.encode_keyed(
+            self.context.name, msgspec.json.encode(self.make_entry())
+        )
+        while True:
+            try:
+                await self.context.platform_store.append(
+                    wire.ENTRIES_TOPIC, [content]
+                )
+            except exceptions.PlatformError as error:
+                log.warning("this entry could not be announced", error=error)
+                await trio.sleep(ANNOUNCE_RETRY_S)
+                continue
+            self.is_replaced = False
+            return
+
+    async def announce_again(self) -> None:
+        """Announce this entry if another announcement replaced its own."""
+        if self.is_replaced and not self.context.is_stopping:
+            await self.announce()
+
+    def apply_record(self, record: pages.KeyedRecord) -> None:
+        """Apply an announcement of any entry; skip one that is not valid."""
+        directory = self.context.entry_directory
+        if record.value is None:
+            directory.entries.pop(record.key, None)
+            return
         try:
-            await context.platform_store.append(wire.ENTRIES_TOPIC, [content])
-        except exceptions.PlatformError as error:
-            log.warning("this entry could not be announced", error=error)
-            await trio.sleep(ANNOUNCE_RETRY_S)
-            continue
-        return
+            found = _decode(record.value)
+        except exceptions.Undecodable as error:
+            log.warning(
+                "announcement of an entry is not valid, record skipped",
+                entry=record.key,
+                error=error,
+            )
+            return
+        if record.key == self.context.name:
+            self._compare(found)
+            found = self.make_entry()
+        if not store_readers.note_announced(directory, record.key, found):
+            log.info("announcement was written late", entry=record.key)
+
+    def _compare(self, found: store_readers.Entry) -> None:
+        """Find out whether this entry's own announcement was replaced."""
+        self.is_replaced = found != self.make_entry()
+        if self.is_replaced:
+            self.number = max(self.number, found.number + 1)
 
 
 async def _read_all(
-    context: entry_context.EntryContext, cause: topic_follower.ReadCause
+    context: entry_context.EntryContext,
+    announcer: _Announcer,
+    cause: topic_follower.ReadCause,
 ) -> pages.Position:
     if cause is topic_follower.ReadCause.RESTORED:
         # The copy may lack this entry's announcement.
-        await _announce(context)
+        await announcer.announce()
     newest = await context.platform_store.read_newest(wire.ENTRIES_TOPIC)
     for record in newest.records:
-        _apply_record(context, record)
+        announcer.apply_record(record)
     context.directory_read.set()
+    await announcer.announce_again()
     await trio.sleep(PAUSE_S)
     return newest.end
 
 
 async def _read_on(
-    context: entry_context.EntryContext, position: pages.Position
+    context: entry_context.EntryContext,
+    announcer: _Announcer,
+    position: pages.Position,
 ) -> pages.Position:
     page = await context.platform_store.read(
         wire.ENTRIES_TOPIC, position, wait_s=WAIT_S
     )
     for record in pages.decode_keyed(page):
-        _apply_record(context, record)
+        announcer.apply_record(record)
+    await announcer.announce_again()
     await trio.sleep(PAUSE_S)
     return page.next
 
 
-async def run(context: entry_context.EntryContext) -> t.NoReturn:
+async def run(context: entry_context.EntryContext) -> None:
     """Announce this entry and follow the list of entries until cancelled."""
-    await _announce(context)
+    announcer = _Announcer(context, context.incarnation)
+    await announcer.announce()
     await trio.sleep(START_DELAY_S)
     await topic_follower.follow(
         topic_follower.Topic(
             wire.ENTRIES_TOPIC,
-            functools.partial(_read_all, context),
-            functools.partial(_read_on, context),
+            functools.partial(_read_all, context, announcer),
+            functools.partial(_read_on, context, announcer),
             0.0,
             RETRY_S,
         )
--- a/src/sycamorespool/registry_follower.py
+++ b/src/sycamorespool/registry_follower.py
@@ -36,7 +36,16 @@
             )
             return
     before = context.registry.servers.get(record.key)
-    registry.apply_entry(context.registry, record.key, backend, now_s)
+    is_applied = registry.apply_entry(
+        context.registry, record.key, backend, now_s
+    )
+    if not is_applied:
+        log.info(
+            "registry entry was written late, record skipped",
+            vm=record.key,
+            offset=record.offset,
+        )
+        return
     if backend is not None:
         context.placement_state.clear_stale_suspicion(before, backend)
     _log_change(record, before, backend)
@@ -72,10 +81,9 @@
     newest = await context.platform_store.read_newest(wire.REGISTRY_TOPIC)
     now_s = trio.current_time()
     entries = {
-        record.key: backend
+        record.key: wire.decode_backend(record.key, record.value)
         for record in newest.records
         if record.value is not None
-        and (backend := wire.decode_backend(record.key, record.value))
     }
     if cause is topic_follower.ReadCause.RESTORED:
         registry.apply_restored(context.registry, entries, now_s)
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -114,7 +114,7 @@
         note_ends(state, *[("aa", FATAL, f"{number}") for number in range(3)])
         fatal_traits.review(state, 1.0)
         assert fatal_traits.review(state, 3.0).blocked == [FATAL]
-        fatal_traits.lift_block(state, FATAL)
+        fatal_traits.lift_block(state, FATAL, 10.0)
         # The ends accuse no other part of these prompts either.
         for now_s in (3.1, 9.0):
             fatal_traits.review(state, now_s)
@@ -169,3 +169,30 @@
         outcomes = collections.Counter(outcome for _, outcome in world.sound)
         assert outcomes["blocked"] <= 0.01 * outcomes.total()
         assert world.list_blocked() == set()
+
+
+class TestReportThatIsWrittenLate:
+    # Review 3, its class: a report from before a block was lifted brought the
+    # block back, or the ends on which it was made.
+    def test_lifted_block_does_not_come_back(self):
+        state = fatal_traits.FatalTraits()
+        until_s = 5.0 + fatal_traits.BLOCK_S
+        fatal_traits.note_block(state, FATAL, until_s)
+        fatal_traits.lift_block(state, FATAL, 10.0)
+        fatal_traits.note_block(state, FATAL, until_s)
+        assert not list_held(state, (FATAL,), 11.0)
+        fatal_traits.note_block(state, FATAL, until_s + 20.0)
+        assert list_held(state, (FATAL,), 31.0) == [FATAL]
+
+    def test_ends_from_before_the_lift_do_not_count(self):
+        state = fatal_traits.FatalTraits()
+        fatal_traits.lift_block(state, FATAL, 10.0)
+        prompts = [("aa", FATAL, "1"), ("cc", FATAL, "2"), ("dd", FATAL, "3")]
+        note_ends(state, *prompts, at_s=9.0)
+        fatal_traits.review(state, 11.0)
+        assert not list_held(state, (FATAL,), 11.0)
+        note_ends(state, *prompts, at_s=9.0)
+        state.ends.clear()
+        note_ends(state, *prompts, at_s=12.0)
+        fatal_traits.review(state, 12.0)
+        assert list_held(state, (FATAL,), 12.1) == [FATAL]
--- a/tests/decisions/test_registry.py
+++ b/tests/decisions/test_registry.py
@@ -133,3 +133,71 @@
             take(state, now_s, vm_id=f"i-{number}")
             registry.apply_entry(state, f"i-{number}", None, now_s + 1.0)
         assert set(state.removed) == {"i-1", "i-2"}
+
+
+class TestEntryThatIsWrittenLate:
+    # Review 3 (DRAIN): a heartbeat that the store carried out late brought a
+    # server back that had left, or that drained.
+    def test_it_does_not_bring_back_a_server_that_left(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4)
+        registry.apply_entry(state, "i-1", None, 50.0)
+        take(state, 52.0, sequence=3)
+        take(state, 52.1, sequence=4)
+        assert not state.servers
+        take(state, 52.2, sequence=5)
+        assert state.servers
+
+    def test_it_does_not_end_a_drain(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4, is_draining=True)
+        take(state, 2.0, sequence=3)
+        assert state.servers["i-1"].is_draining
+
+    def test_it_brings_back_no_group(self):
+        state = registry.Registry()
+        member = backends.Membership("g", 7, 0, backends.MemberState.OPEN)
+        take(state, 1.0, sequence=4)
+        take(state, 2.0, sequence=3, membership=member)
+        assert not state.groups_of("s")
+
+    def test_it_is_no_sign_of_life(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4)
+        take(state, 2.0, sequence=3, cold_left_s=9.0)
+        assert state.last_heartbeat_s["i-1"] == 1.0
+        assert not state.cold_until_s
+
+    def test_it_does_not_keep_a_server_whose_removal_is_due(self):
+        state = registry.Registry()
+        take(state, sequence=4)
+        registry.note_outage_end(state, 50.0)
+        registry.apply_entry(state, "i-1", None, 50.1)
+        take(state, 51.0, sequence=3)
+        assert registry.forget_removed(state, 99.0) == ["i-1"]
+
+    @pytest.mark.parametrize("apply", ["replace_all", "apply_restored"])
+    def test_full_listing_is_no_exception(self, apply):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4, is_draining=True)
+        take(state, 1.0, vm_id="i-2", sequence=4)
+        registry.apply_entry(state, "i-2", None, 50.0)
+        listing = {
+            vm_id: make_backend(vm_id, sequence=3) for vm_id in ("i-1", "i-2")
+        }
+        getattr(registry, apply)(state, listing, 52.0)
+        assert state.servers["i-1"].is_draining
+        assert "i-2" not in state.servers
+
+    def test_process_that_started_later_is_another_one(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4)
+        registry.apply_entry(state, "i-1", None, 50.0)
+        take(state, 52.0, sequence=1, started_ms=6)
+        assert state.servers["i-1"].started_ms == 6
+
+    def test_entry_that_cannot_be_read_changes_nothing_in_a_listing(self):
+        state = registry.Registry()
+        take(state, 1.0, sequence=4)
+        registry.replace_all(state, {"i-1": None}, 52.0)
+        assert "i-1" in state.servers
--- a/tests/decisions/test_server_limits.py
+++ b/tests/decisions/test_server_limits.py
@@ -302,3 +302,42 @@
         server_limits.note_report(state, "i", self.limit(), 9.0)
         server_limits.forget(state, "i")
         assert server_limits.list_unreported(state) == {"i": None}
+
+
+class TestReportThatIsWrittenLate:
+    # Review 3, its class: a late report ended or raised a limit that answers
+    # to this entry had just named.
+    def _see(self, per_s, started_ms=5):
+        state = server_limits.ServerLimits(PARTITIONS)
+        answer = server_limits.Answer(per_s, 50.0)
+        server_limits.note_answer(state, "i", started_ms, answer, 50.1)
+        return state
+
+    @pytest.mark.parametrize(
+        "report",
+        [None, server_limits.Limit(9.0, 5), server_limits.Limit(1, 4)],
+    )
+    def test_it_does_not_hide_what_was_just_seen(self, report):
+        state = self._see(2.0)
+        server_limits.note_report(state, "i", report, 50.5)
+        assert server_limits.find_limit(state, "i", 5).per_s == 2.0
+        # Others are told again.
+        assert "i" in server_limits.list_unreported(state)
+
+    def test_lower_limit_holds_at_once(self):
+        state = self._see(2.0)
+        limit = server_limits.Limit(1.0, 5)
+        server_limits.note_report(state, "i", limit, 50.5)
+        assert server_limits.find_limit(state, "i", 5).per_s == 1.0
+
+    def test_limit_that_was_not_seen_lately_ends_with_a_report(self):
+        state = self._see(2.0)
+        late_s = 50.0 + server_limits.SEEN_S
+        server_limits.note_report(state, "i", None, late_s)
+        assert server_limits.find_limit(state, "i", 5) is None
+
+    def test_limit_of_a_former_process_does_not_come_back(self):
+        state = self._see(2.0)
+        limit = server_limits.Limit(1.0, 4)
+        server_limits.note_report(state, "i", limit, 90.0)
+        assert server_limits.find_limit(state, "i", 5).per_s == 2.0
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -138,6 +138,11 @@
             assert passed_on.version <= decoding.MAX_COUNT
 
 
+def make_announcer(directory):
+    context = types.SimpleNamespace(entry_directory=directory, name="own")
+    return entry_announcements._Announcer(context, 5)
+
+
 class TestReportsOfEntries:
     @pytest.mark.parametrize(
         ("key", "sound"),
@@ -175,10 +180,10 @@
             "link_mbps": 100.0,
         }
         directory = store_readers.EntryDirectory()
-        context = types.SimpleNamespace(entry_directory=directory)
+        announcer = make_announcer(directory)
         for value in odd_values.list_records(sound):
             record = pages.KeyedRecord(1, "e", value)
-            entry_announcements._apply_record(context, record)
+            announcer.apply_record(record)
             for entry in directory.entries.values():
                 assert entry.address == "10.0.0.1:80"
             store_readers.choose(directory, "e", 5.0)
@@ -186,12 +191,12 @@
     @pytest.mark.parametrize("port", ["0", "65536", "99999", "x"])
     def test_entry_with_an_odd_port_is_never_called(self, port):
         directory = store_readers.EntryDirectory()
-        context = types.SimpleNamespace(entry_directory=directory)
+        announcer = make_announcer(directory)
         value = msgspec.json.encode(
             {"address": f"10.0.0.1:{port}", "data_centre": "dc"}
         )
         record = pages.KeyedRecord(1, "e", value)
-        entry_announcements._apply_record(context, record)
+        announcer.apply_record(record)
         assert not directory.entries
 
 
