Believe a refusal only if it is that of this attempt

Cause: open_request looked for the words of a refusal before it compared the attempt's id, so that an earlier refusal that a faulty server writes once more on a kept connection was believed. The same class: refusals without an id on a used connection; tries of one request, which share an id, on one connection; requests without an id; statuses that promise 'not run' without the words.

Ruled out: requests that may not be repeated, which never used a kept connection.

Evidence: tests/backend_servers/test_streaming_client.py, by a server that writes them; without the change a refusal of attempt z ended attempt b as not run.

Why it works: the id comes first, and what has none counts only where nothing else can have been answered.

--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -190,6 +190,11 @@
         or (may_repeat and tries.reserve(point, trio.current_time()))
     ):
         raise exceptions.BackendCut(f"the server answered {answer.status}")
+    if answer.status in headers.PROMISES:
+        # It says nothing of whether the request was run, but the status would.
+        raise exceptions.BackendCut(
+            f"status {answer.status} does not say that nothing was run"
+        )
     if call.is_stream and answer.status < 300:
         caller_answer.check_start(answer)
         if tries.has_other(movable):
--- a/src/sycamorespool/backend_servers/connection_pool.py
+++ b/src/sycamorespool/backend_servers/connection_pool.py
@@ -15,7 +15,7 @@
 class HttpConnection:
     """Holds a connection to a backend server and its state in HTTP."""
 
-    __slots__ = ("connection", "http", "idle_since_s")
+    __slots__ = ("connection", "http", "idle_since_s", "last_attempt_id")
 
     def __init__(self, connection: sockets.Connection) -> None:
         self.connection = connection
@@ -23,6 +23,13 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.idle_since_s = 0.0
+        # Id of the attempt that was answered last, None on a new connection.
+        self.last_attempt_id: str | None = None
+
+    @property
+    def is_new(self) -> bool:
+        """Tell whether nothing was answered on it yet."""
+        return self.last_attempt_id is None
 
     def is_reusable(self) -> bool:
         """Tell whether an exchange is complete and another may begin.
@@ -47,13 +54,21 @@
         """Return the number of idle connections."""
         return sum(len(idle) for idle in self._idle.values())
 
-    def take(self, address: str, now_s: float) -> HttpConnection | None:
-        """Return a usable idle connection, if any, and close unusable ones."""
+    def take(
+        self, address: str, now_s: float, attempt_id: str
+    ) -> HttpConnection | None:
+        """Return a usable idle connection, if any, and close unusable ones.
+
+        One whose last answer has the id of the attempt is not usable for it,
+        as that answer may come a second time.
+        """
         idle = self._idle[address]
         while idle:
             http_connection = idle.pop()
             is_fresh = now_s - http_connection.idle_since_s < IDLE_EXPIRY_S
-            if is_fresh and http_connection.connection.is_idle():
+            is_other = http_connection.last_attempt_id != attempt_id
+            is_usable = is_fresh and is_other
+            if is_usable and http_connection.connection.is_idle():
                 return http_connection
             http_connection.connection.close()
         del self._idle[address]
@@ -68,9 +83,14 @@
         )
 
     def put(
-        self, address: str, http_connection: HttpConnection, now_s: float
+        self,
+        address: str,
+        http_connection: HttpConnection,
+        attempt_id: str,
+        now_s: float,
     ) -> None:
         """Keep a connection on which an exchange is complete."""
+        http_connection.last_attempt_id = attempt_id
         http_connection.http.start_next_cycle()
         http_connection.idle_since_s = now_s
         idle = self._idle[address]
--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -249,10 +249,15 @@
         raise exceptions.BackendCut(repr(error)) from error
     await answer.read_head()
     dialect = outgoing.dialect
-    if dialect.is_refusal(answer.status, answer.headers):
-        raise exceptions.BackendRefused(answer.status, "", answer.headers)
-    if answer.headers.get(dialect.attempt_header) != outgoing.attempt_id:
+    is_refusal = dialect.is_refusal(answer.status, answer.headers)
+    named = answer.headers.get(dialect.attempt_header)
+    # A refusal of a request that seemed to have no id names none; on a used
+    # connection it may be that of an earlier request.
+    is_unnamed = is_refusal and not named and http_connection.is_new
+    if named != outgoing.attempt_id and not is_unnamed:
         raise exceptions.BackendCut("the answer has another attempt's id")
+    if is_refusal:
+        raise exceptions.BackendRefused(answer.status, "", answer.headers)
 
 
 @contextlib.asynccontextmanager
@@ -284,7 +289,7 @@
     BackendNotReached
         If no byte was sent.
     BackendRefused
-        If the backend server says that it did not run the request.
+        If the backend server says that it did not run this request.
     BackendCut
         If the exchange failed after a byte may have been sent, the answer
         has another attempt's id, or the exchange took too long.
@@ -294,8 +299,11 @@
     is_kept = False
     http_connection = None
     now_s = trio.current_time()
-    if outgoing.may_reuse:
-        http_connection = pool.take(outgoing.address, now_s)
+    # Without an id an answer of an earlier request could not be recognised.
+    if outgoing.may_reuse and outgoing.attempt_id:
+        http_connection = pool.take(
+            outgoing.address, now_s, outgoing.attempt_id
+        )
     if http_connection is None:
         http_connection = await _connect(outgoing.address, end_s)
         if not may_send():
@@ -312,7 +320,12 @@
             _raise_timeout(answer, end_s)
     finally:
         if is_kept:
-            pool.put(outgoing.address, http_connection, trio.current_time())
+            pool.put(
+                outgoing.address,
+                http_connection,
+                outgoing.attempt_id,
+                trio.current_time(),
+            )
         else:
             http_connection.connection.close()
 
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -29,6 +29,8 @@
 KEY_SCHEME = "bearer"
 MISDIRECTED = 421
 UNAVAILABLE = 503
+# Statuses by which callers take a request for one that has not run.
+PROMISES = frozenset((408, MISDIRECTED, 429, UNAVAILABLE))
 READY_PATH = "/api/ready"
 LOWEST_PRIORITY = 9
 # Parts of a prompt that are read; a longer list is cut, and its last part,
--- /dev/null
+++ b/tests/backend_servers/test_streaming_client.py
@@ -0,0 +1,128 @@
+"""Tests of whose answer an answer on a connection is."""
+
+import contextlib
+import math
+
+import pytest
+import trio
+
+from examples import processes
+from sycamorespool.backend_servers import connection_pool
+from sycamorespool.backend_servers import streaming_client
+from sycamorespool import exceptions
+from sycamorespool.platform import headers
+
+DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
+
+
+def make_answer(status, attempt_id=None, is_refusal=False):
+    lines = [f"HTTP/1.1 {status} Status", "content-length: 0"]
+    if attempt_id is not None:
+        lines.append(f"{headers.ATTEMPT}: {attempt_id}")
+    if is_refusal:
+        lines.append(f"{headers.NOT_RUN}: 1")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+class Server:
+    """Answers the requests by the next of some texts, on any connection."""
+
+    def __init__(self, *answers):
+        self.address = processes.find_free_address()
+        self.answers = list(answers)
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                await stream.send_all(self.answers.pop(0))
+
+
+def exchange(server, *attempt_ids, dialect=DIALECT):
+    """Send requests in turn; return the outcome of each."""
+    outcomes = []
+
+    async def main():
+        pool = connection_pool.ConnectionPool()
+        async with trio.open_nursery() as nursery:
+            host, _, port = server.address.rpartition(":")
+
+            async def listen(task_status=trio.TASK_STATUS_IGNORED):
+                await trio.serve_tcp(
+                    server.serve, int(port), host=host, task_status=task_status
+                )
+
+            await nursery.start(listen)
+            for attempt_id in attempt_ids:
+                outcomes.append(await _send(server, pool, attempt_id, dialect))
+            pool.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return outcomes
+
+
+async def _send(server, pool, attempt_id, dialect):
+    outgoing = streaming_client.OutgoingRequest(
+        server.address, "GET", "/a", {}, b"", attempt_id, dialect=dialect
+    )
+    end_s = trio.current_time() + 5.0
+    try:
+        async with streaming_client.open_request(
+            pool, outgoing, math.inf, end_s
+        ) as answer:
+            await answer.finish()
+            return answer.status
+    except exceptions.BackendError as error:
+        return type(error)
+
+
+class TestRefusal:
+    # Reports (REFUSED, TWICE): an earlier refusal that a faulty server wrote
+    # once more was taken for that of a request which the server ran.
+    def test_refusal_of_this_attempt_says_that_nothing_was_run(self):
+        server = Server(make_answer(503, "a", is_refusal=True))
+        assert exchange(server, "a") == [exceptions.BackendRefused]
+
+    @pytest.mark.parametrize("status", [400, 421, 429, 503])
+    def test_refusal_of_another_attempt_says_nothing(self, status):
+        server = Server(
+            make_answer(200, "a"), make_answer(status, "z", is_refusal=True)
+        )
+        assert exchange(server, "a", "b") == [200, exceptions.BackendCut]
+
+    @pytest.mark.parametrize("status", [400, 421, 429, 503])
+    def test_refusal_without_an_id_on_a_used_connection_says_nothing(
+        self, status
+    ):
+        server = Server(
+            make_answer(200, "a"), make_answer(status, is_refusal=True)
+        )
+        assert exchange(server, "a", "b") == [200, exceptions.BackendCut]
+
+    def test_refusal_without_an_id_on_a_new_connection_is_its_own(self):
+        server = Server(make_answer(400, is_refusal=True))
+        assert exchange(server, "a") == [exceptions.BackendRefused]
+
+    def test_tries_with_one_id_share_no_connection(self):
+        server = Server(*[make_answer(200, "a")] * 3, make_answer(200, "b"))
+        assert exchange(server, "a", "a") == [200, 200]
+        assert server.connections == 2
+
+    def test_request_without_an_id_gets_a_new_connection(self):
+        server = Server(
+            make_answer(200, "a"), make_answer(400, is_refusal=True)
+        )
+        assert exchange(server, "a", "") == [200, exceptions.BackendRefused]
+        assert server.connections == 2
+
+    def test_refusal_in_the_other_dialect_needs_the_id_too(self):
+        name = headers.ATTEMPT.encode()
+        own_name = streaming_client.ATTEMPT_HEADER.encode()
+        answers = [make_answer(200, "a"), make_answer(503, "z")]
+        server = Server(*[a.replace(name, own_name) for a in answers])
+        outcomes = exchange(
+            server, "a", "b", dialect=streaming_client.OWN_DIALECT
+        )
+        assert outcomes == [200, exceptions.BackendCut]
