Let only a begun stream of events go on with another answer

Cause: whether an answer may go on was decided by its route, and the end of a body without any event was taken for the end of the stream.

Ruled out: the resumed answer's status and type, which were checked.

The tests of begun answers.

Why it works: Relay knows whether events have begun, and counts those of each answer. A caller that speaks HTTP/1.0 gets a reset instead of an end.

--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -97,9 +97,8 @@
     action = retries.decide(
         tries.state, point, tries.budget, now_s, ended.attempt.is_counted
     )
-    is_over = caller_answer.is_started and not call.is_stream
     _log_failed(call, caller_answer, ended, point, action.value)
-    if is_over or action not in retries.CONTINUING:
+    if not caller_answer.may_go_on or action not in retries.CONTINUING:
         raise final_error(call, tries, now_s)
     count_retry(context, call)
 
--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -228,9 +228,18 @@
     except Exception:
         logging.exception("callers: serving a request failed")
     finally:
+        if _ends_by_closing(http):
+            connection.reset()
         connection.close()
 
 
+def _ends_by_closing(http: h11.Connection) -> bool:
+    """Tell whether closing would make an answer that is cut look complete."""
+    return http.our_state is h11.SEND_BODY and (
+        http.their_http_version == b"1.0"
+    )
+
+
 async def serve(
     app: asgi.App,
     address: str,
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -271,7 +271,7 @@
         failure_point = await _make_attempt(env, call, attempts, caller_answer)
         if failure_point is None:
             return
-        if caller_answer.is_started and not call.is_stream:
+        if not caller_answer.may_go_on:
             raise attempts.fail()
         await _await_next_attempt(env, call, attempts, failure_point)
 
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -271,9 +271,8 @@
     now_s: float,
 ) -> bool:
     """Begin an attempt beside a silent one, if a server and a retry allow."""
-    is_over = caller_answer.is_started and not call.is_stream
     is_counted = silent.is_counted
-    if is_over or not retries.may_begin_beside(
+    if not caller_answer.may_go_on or not retries.may_begin_beside(
         tries.state, tries.budget, now_s, is_counted
     ):
         return False
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/relay.py
@@ -78,6 +78,7 @@
         self.status = 0
         self.is_started = False
         self.is_whole = False
+        self._is_event_stream = False
         self.first_s = 0.0
         self.last_s = 0.0
         self.chunks = 0
@@ -88,6 +89,14 @@
             {REQUEST_ID_HEADER: request_id} if headers is None else headers
         )
 
+    @property
+    def may_go_on(self) -> bool:
+        """Tell whether a further answer of a server can be relayed.
+
+        Only a stream of events that has begun can go on with another one.
+        """
+        return self._is_event_stream or not self.is_started
+
     async def answer(self, response: asgi.Response) -> None:
         """Send an answer that the entry itself gives."""
         headers = {**response.headers, **self._headers}
@@ -106,18 +115,23 @@
         Raises
         ------
         BackendCut
-            If the answer breaks off, is not an event stream or begins at
-            another token; ``events`` tells how much of it was relayed.
+            If the answer breaks off, is not an event stream, has no event
+            or begins at another token; ``events`` tells how much of it was
+            relayed.
         """
         self.check_start(answer)
         events = self.events
         events.drop_partial_event()
+        count_before = events.count
         while not events.is_done:
             chunk = await answer.read()
             if not chunk:
+                if events.count == count_before:
+                    raise exceptions.BackendCut("the stream has no event")
                 events.end()
             block = events.take(chunk) if chunk else b""
             if block or events.is_done:
+                self._is_event_stream = True
                 await self._send_part(
                     answer, EVENT_STREAM, block, not events.is_done
                 )
@@ -133,7 +147,8 @@
         """
         events = dataclasses.replace(self.events)
         events.drop_partial_event()
-        return bool(events.take(data))
+        events.take(data)
+        return events.count > self.events.count
 
     def check_start(self, answer: event_counts.Source) -> None:
         """Check that an answer is a stream that begins at the next event.
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -12,6 +12,7 @@
 import errno
 import os
 import socket
+import struct
 
 import trio
 
@@ -83,6 +84,11 @@
         """Close the sending side; the peer reads the end of the stream."""
         self._socket.shutdown(socket.SHUT_WR)
 
+    def reset(self) -> None:
+        """Let closing reset it, so that its peer sees an error."""
+        linger = struct.pack("ii", 1, 0)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self) -> None:
         """Close it; tasks that wait for it get a ClosedResourceError."""
         if self._socket.fileno() >= 0:
--- a/tests/callers/test_server.py
+++ b/tests/callers/test_server.py
@@ -102,6 +102,18 @@
         assert answer.count(b"HTTP/1.1") == 1
         assert answer.endswith(b"4\r\npart\r\n")
 
+    def test_cut_answer_that_would_end_by_closing_is_reset(self):
+        async def app(scope, receive, send):
+            start = {"type": "http.response.start", "status": 200}
+            await send({**start, "headers": []})
+            part = {"type": "http.response.body", "body": b"part"}
+            await send({**part, "more_body": True})
+            raise asgi.AnswerCut
+
+        with pytest.raises(BaseException) as caught:
+            run_ask(app, REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        assert caught.group_contains(ConnectionResetError)
+
     def test_error_after_the_answer_does_not_spoil_it(self):
         async def app(scope, receive, send):
             await asgi.read_body(receive, 99)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 import trio
 
 from sycamorespool import event_counts
+from sycamorespool import event_ids
 from sycamorespool import exceptions
 from sycamorespool import relay
 
@@ -122,3 +123,92 @@
         block = TOKENS[0] + event_counts.DONE
         assert events.take(block + TOKENS[1]) == block
         assert (events.count, events.is_done) == (1, True)
+
+
+class Answer:
+    """An answer whose body comes in some parts and may break off."""
+
+    def __init__(self, *parts, status=200, kind=relay.EVENT_STREAM):
+        self.status = status
+        self.headers = {"content-type": kind}
+        self._parts = list(parts)
+
+    async def read(self):
+        part = self._parts.pop(0) if self._parts else b""
+        if part is None:
+            raise exceptions.BackendCut("broken off")
+        return part
+
+    async def finish(self):
+        return
+
+
+def relay_answers(*answers):
+    """Relay answers until one is whole; return relay, body and errors."""
+    sent = []
+
+    async def send(message):
+        sent.append(message.get("body", b""))
+
+    caller_answer = relay.Relay(send, "id", event_ids.EventIdTracker(), {})
+    errors = []
+
+    async def main():
+        for answer in answers:
+            is_stream = answer.status < 300
+            try:
+                if is_stream:
+                    await caller_answer.copy_events(answer)
+                else:
+                    await caller_answer.copy_whole(answer, is_json=False)
+            except exceptions.BackendCut as error:
+                errors.append(error)
+
+    trio.run(main)
+    return caller_answer, b"".join(sent), errors
+
+
+class TestAnswersAfterAStreamHasBegun:
+    # Reports (ORDER, MIXED): the text or head of a later answer stood in the
+    # middle of a stream, or ended it as complete.
+    FIRST = b"id: 1\ndata: a\n\n"
+    LAST = b"id: 2\ndata: b\n\n"
+
+    @pytest.mark.parametrize(
+        "parts",
+        [
+            (),
+            (b"",),
+            (b"overloaded",),
+            (b"overloaded\n\n",),
+            (b'data: {"error": "overloaded"}\n\n',),
+            (b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno\n\n",),
+            (b": still here\n\n",),
+            (b"id: 1\ndata: a\n\n",),
+        ],
+    )
+    def test_only_its_next_event_is_relayed(self, parts):
+        broken, sound = Answer(self.FIRST, None), Answer(self.LAST)
+        caller_answer, body, errors = relay_answers(
+            broken, Answer(*parts), sound
+        )
+        assert body.replace(b": still here\n\n", b"") == self.FIRST + self.LAST
+        assert len(errors) == 2
+        assert caller_answer.is_whole
+
+    def test_stream_without_any_event_is_not_complete(self):
+        caller_answer, body, errors = relay_answers(Answer())
+        assert (body, len(errors)) == (b"", 1)
+        assert caller_answer.may_go_on
+
+    def test_failure_that_broke_off_does_not_go_on_with_a_stream(self):
+        # Review, the sixth case (commit ce15eb6).
+        part = b"x" * (relay.MAX_BUFFERED_BYTES + 1)
+        failure = Answer(part, None, status=400, kind="text/plain")
+        caller_answer, body, errors = relay_answers(failure)
+        assert (body, len(errors)) == (part, 1)
+        assert not caller_answer.may_go_on
+
+    def test_stream_that_broke_off_may_go_on(self):
+        caller_answer, _, _ = relay_answers(Answer(self.FIRST, None))
+        assert caller_answer.may_go_on
