Hold the share of the fleet's budgets by a lease

Cause: the entry kept its share while its joins failed, though the store had given it to another entry. Retry budgets had the same fault.

Ruled out: the bound of each entry, 0.8 of its share, which held; the cold time that was read.

Why it works: the lease ends no later than the store's own time, on a clock that counts suspensions, and is checked at each use.

--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -22,6 +22,7 @@
 from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
+from sycamorespool import cut_requests
 from sycamorespool.decisions import cold_limits
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import limited_turns
@@ -59,37 +60,6 @@
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
 
-@dataclasses.dataclass(slots=True)
-class CutRequests:
-    """Collects the requests whose connections a server closed too early.
-
-    Parameters
-    ----------
-    prompts : dict
-        Traits of the requests that had no answer yet, by server.
-    added : trio.Event
-        Set when a request was added.
-    """
-
-    prompts: dict[backends.Backend, set[fatal_traits.Traits]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    added: trio.Event = dataclasses.field(default_factory=trio.Event)
-
-    def add(
-        self, backend: backends.Backend, traits: fatal_traits.Traits
-    ) -> None:
-        """Add a request."""
-        self.prompts.setdefault(backend, set()).add(traits)
-        self.added.set()
-
-    def take(self) -> dict[backends.Backend, set[fatal_traits.Traits]]:
-        """Return all requests added since the last call."""
-        taken, self.prompts = self.prompts, {}
-        self.added = trio.Event()
-        return taken
-
-
 @dataclasses.dataclass(slots=True)
 class EntryContext:
     """Holds the state that all parts of an entry on a hosted platform share.
@@ -123,7 +93,11 @@
     record_caches : dict
         The newest records that this entry read, by topic.
     share : float
-        Fraction of the fleet's budgets that this entry may use, 0..1.
+        Fraction of the fleet's budgets that this entry may use during its
+        lease, 0..1.
+    share_lease_end_s : float
+        Until when the store keeps the share for this entry, by
+        :func:`boot_time_s`.
     assignment : Assignment
         The partitions that the store assigned to this entry as a member of
         its consumer group.
@@ -171,6 +145,7 @@
         default_factory=dict
     )
     share: float = 0.0
+    share_lease_end_s: float = -math.inf
     assignment: store.Assignment = store.Assignment(0, frozenset())
     cold: cold_limits.ColdLimits = dataclasses.field(
         default_factory=cold_limits.ColdLimits
@@ -193,7 +168,9 @@
     trait_blocks: fatal_traits.FatalTraits = dataclasses.field(
         default_factory=fatal_traits.FatalTraits
     )
-    cut_requests: CutRequests = dataclasses.field(default_factory=CutRequests)
+    cut_requests: "cut_requests.CutRequests" = dataclasses.field(
+        default_factory=cut_requests.CutRequests
+    )
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
@@ -245,17 +222,29 @@
         They come on top of the retries that each request adds.
         """
         extra = self.settings.bounds.retry_extra
-        return max(1.0, extra * self.share * RETRY_EXTRA_FRACTION)
+        return max(1.0, extra * self.find_share() * RETRY_EXTRA_FRACTION)
 
     def _retry_refill_per_s(self) -> float:
         bounds = self.settings.bounds
         return (
-            bounds.retry_extra * self.share * RETRY_EXTRA_FRACTION
+            bounds.retry_extra * self.find_share() * RETRY_EXTRA_FRACTION
         ) / bounds.retry_window_s
 
-    def set_share(self, share: float) -> None:
-        """Set the share of the fleet's budgets; adjust retry budgets to it."""
-        self.share = share
+    def find_share(self) -> float:
+        """Return the share of the fleet's budgets, 0 after its lease."""
+        is_own = boot_time_s() <= self.share_lease_end_s
+        return self.share if is_own else 0.0
+
+    def set_share(self, share: float, lease_end_s: float) -> None:
+        """Set the share of the fleet's budgets, and until when it is held.
+
+        ``lease_end_s`` is a time of :func:`boot_time_s`.
+        """
+        self.share, self.share_lease_end_s = share, lease_end_s
+        self.adjust_retry_budgets()
+
+    def adjust_retry_budgets(self) -> None:
+        """Adjust the retry budgets to the present share."""
         for budget in self.retry_budgets.values():
             budget.reserve = self.retry_reserve()
             budget.refill_per_s = self._retry_refill_per_s()
@@ -283,7 +272,7 @@
             self.cold,
             backend_id,
             per_s,
-            self.share,
+            self.find_share(),
             rendezvous.weigh(self.name, backend_id) / rendezvous.WEIGHT_LIMIT,
             now_s,
         )
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -2,9 +2,13 @@
 
 The store divides the partitions of some topics among the members.  The
 partitions of an entry decide which fabric domains it owns and which part of
-the fleet's budgets it may use.
+the fleet's budgets it may use.  The part of the budgets is held by a lease: an
+entry whose joins fail uses it no longer than the store keeps it for it.
+Domains are kept longer, as fencing numbers protect them.
 """
 
+import math
+
 import trio
 
 from sycamorespool.decisions import reachability
@@ -38,8 +42,6 @@
     if assignment == context.assignment:
         return False
     context.assignment = assignment
-    total = len(context.limits.partitions)
-    context.set_share(len(assignment.partitions) / total)
     log.info(
         "partitions assigned to this entry",
         version=assignment.generation,
@@ -48,6 +50,14 @@
     return True
 
 
+def _set_share(
+    context: entry_context.EntryContext, lease_end_s: float
+) -> None:
+    total = len(context.limits.partitions)
+    share = len(context.assignment.partitions) / total
+    context.set_share(share, lease_end_s)
+
+
 def _find_generation(context: entry_context.EntryContext) -> int:
     """Return the generation that the store expects with the next join.
 
@@ -88,6 +98,7 @@
                 await release(context)
                 return
             has_changed = _apply_assignment(context, assignment)
+            _set_share(context, joined_s + ttl_s)
             server_limits.renew(
                 context.limits,
                 assignment.partitions,
@@ -99,6 +110,7 @@
             is_busy = has_changed or context.owns_domains
         except exceptions.PlatformError as error:
             failures.note_failure(error)
+            context.adjust_retry_budgets()
             is_busy = True
         await trio.sleep_until(began_s + period_s)
 
@@ -111,6 +123,7 @@
         context,
         store.Assignment(former.generation, frozenset(), former.timeline),
     )
+    _set_share(context, -math.inf)
     try:
         await context.platform_store.leave(GROUP, member_name(context))
     except exceptions.PlatformError as error:
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -1,5 +1,6 @@
 """Tests of the membership in the store's consumer group."""
 
+import math
 import types
 
 import pytest
@@ -7,7 +8,10 @@
 import trio.testing
 
 from sycamorespool.decisions import reachability
+from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_limits
+from sycamorespool import entry_context
+from sycamorespool import exceptions
 from sycamorespool import partition_share
 from sycamorespool.platform import store
 
@@ -40,6 +44,7 @@
 
 
 def make_context(platform_store, assignment):
+    shares = []
     return types.SimpleNamespace(
         name="e",
         incarnation=1,
@@ -47,7 +52,11 @@
         owns_domains=False,
         assignment=assignment,
         platform_store=platform_store,
-        set_share=lambda share: None,
+        set_share=lambda share, lease_end_s: shares.append(
+            (share, lease_end_s)
+        ),
+        adjust_retry_budgets=lambda: None,
+        shares=shares,
         reach=reachability.Reachability(),
         limits=server_limits.ServerLimits((("share-0", 0),)),
         settings=types.SimpleNamespace(
@@ -121,3 +130,50 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not platform_store.members
     assert not context.assignment.partitions
+
+
+class LosingStore(FakeStore):
+    """A store that answers the first join only."""
+
+    async def join(self, group, member, topics, ttl_s, generation):
+        if self.generations:
+            raise exceptions.PlatformUnavailable("cut off")
+        return await super().join(group, member, topics, ttl_s, generation)
+
+
+# Review 4 (FAILBACK): an entry that was cut off from the store went on with a
+# share that the store had given to another one.
+def test_share_is_held_as_long_as_the_store_keeps_it(monkeypatch):
+    now_s = [500.0]
+    monkeypatch.setattr(entry_context, "boot_time_s", lambda: now_s[0])
+    platform_store = LosingStore(1)
+    context = make_context(platform_store, store.Assignment(9, frozenset(), 1))
+    hold(context, 20.0)
+    ((share, lease_end_s),) = context.shares
+    assert share == 1.0
+    assert lease_end_s == 500.0 + platform_store.ttls_s[0]
+
+
+def test_share_ends_with_its_lease(monkeypatch):
+    now_s = [500.0]
+    monkeypatch.setattr(entry_context, "boot_time_s", lambda: now_s[0])
+    bounds = types.SimpleNamespace(retry_extra=1000.0, retry_window_s=10.0)
+    context = entry_context.EntryContext(
+        types.SimpleNamespace(bounds=bounds), 1, *[None] * 6
+    )
+    context.retry_budgets["s"] = retries.RetryBudget()
+    context.set_share(0.5, 502.0)
+    assert context.find_share() == 0.5
+    budget = context.retry_budgets["s"]
+    assert budget.reserve > 1.0
+    now_s[0] = 502.1
+    context.adjust_retry_budgets()
+    assert context.find_share() == 0.0
+    assert (budget.reserve, budget.refill_per_s) == (1.0, 0.0)
+
+
+def test_entry_that_leaves_has_no_share():
+    platform_store = SlowStore(1)
+    context = make_context(platform_store, store.Assignment(9, frozenset(), 1))
+    trio.run(partition_share.release, context)
+    assert context.shares == [(0.0, -math.inf)]
