Take no second answer to a report for that to an order

Cause: reports and orders have no ids and shared kept connections; a report sent a second time, with status 200, was taken for 'done' by an order to leave, which was carried out later. The same class: second answers to orders, the question whether a server stays, copies of older reports.

Ruled out: a late order alone, a second answer alone.

The new tests fail without it.

Why it works: an order is the last request on its connection, so that only reports precede it, and an answer that holds a report is none.

--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -1,5 +1,6 @@
 """Sends HTTP requests over a connection pool and reads whole responses."""
 
+from collections import abc
 import dataclasses
 import socket
 
@@ -22,6 +23,8 @@
 # all, is given up, as it may have no end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 TIMEOUTS_PER_EXCHANGE = 2.0
+# Headers of a request after which its connection is closed.
+LAST_REQUEST = {"connection": "close"}
 
 
 class NotReached(Exception):
@@ -90,7 +93,7 @@
     url: str,
     body: bytes = b"",
     timeout_s: float = 2.0,
-    headers: dict[str, str] | None = None,
+    headers: abc.Mapping[str, str] | None = None,
 ) -> Response:
     """Send one request and read its whole response.
 
@@ -126,6 +129,22 @@
     return Response(response.status, decode_headers(response.headers), content)
 
 
+async def exchange_alone(
+    method: str, url: str, body: bytes = b"", timeout_s: float = 2.0
+) -> Response:
+    """Send one request on a connection that is used for nothing else.
+
+    No answer to another request can be taken for its answer.
+
+    Raises
+    ------
+    NotReached, ExchangeFailed
+        As :func:`exchange` raises them.
+    """
+    async with make_pool(max_connections=1) as pool:
+        return await exchange(pool, method, url, body, timeout_s, LAST_REQUEST)
+
+
 async def _read_content(response: httpcore.Response) -> bytes:
     parts: list[bytes] = []
     size = 0
--- a/src/sycamorespool/platform/engines.py
+++ b/src/sycamorespool/platform/engines.py
@@ -1,4 +1,10 @@
-"""Calls the model engines: fetches reports and sends orders."""
+"""Calls the model engines: fetches reports and sends orders.
+
+An answer names no request that it belongs to, and a faulty server may answer
+twice.  So an order is the last request on its connection, behind reports only,
+and an answer to it that holds a report is none.  A second report is at worst
+an old one.
+"""
 
 import dataclasses
 import enum
@@ -75,20 +81,15 @@
     return ProbeStatus.ANSWERED
 
 
-async def is_staying(
-    pools: address_pools.AddressPools,
-    backend: backends.Backend,
-    health_path: str,
-) -> bool:
+async def is_staying(backend: backends.Backend, health_path: str) -> bool:
     """Ask a backend server whether it is healthy and not about to leave.
 
     An answer from another server at the same address counts as no.
     """
     url = f"http://{backend.address}{health_path}"
-    pool = await pools.find(backend.address, trio.current_time())
     try:
-        answer = await http_client.exchange(
-            pool, "GET", url, timeout_s=REPORT_TIMEOUT_S
+        answer = await http_client.exchange_alone(
+            "GET", url, timeout_s=REPORT_TIMEOUT_S
         )
     except (http_client.NotReached, http_client.ExchangeFailed):
         return False
@@ -116,11 +117,14 @@
             f"http://{address}/api/order",
             body,
             ORDER_TIMEOUT_S,
+            http_client.LAST_REQUEST,
         )
     except http_client.NotReached:
         return backends.OrderOutcome.REFUSED
     except http_client.ExchangeFailed:
         return backends.OrderOutcome.UNKNOWN
+    if wire.holds_report(answer.body):
+        return backends.OrderOutcome.UNKNOWN
     return wire.ORDER_OUTCOMES.get(
         answer.status, backends.OrderOutcome.REFUSED
     )
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -267,6 +267,20 @@
     )
 
 
+class _CountedReport(msgspec.Struct):
+    sequence: decoding.Count
+    busy: bool
+
+
+def holds_report(body: bytes) -> bool:
+    """Tell whether the body of an answer is a model engine's report."""
+    try:
+        decoding.decode_json(body, _CountedReport)
+    except exceptions.Undecodable:
+        return False
+    return True
+
+
 def encode_order(
     order: backends.Order, fencing_number: int, expected_orders: int | None
 ) -> bytes:
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -155,6 +155,7 @@
             raise exceptions.BackendCut(
                 "the report is from another start of the server"
             )
+        _check_newer(probe, report)
         notice = backends.Notice(report.is_leaving)
         watch.context.placement_state.note_notice(backend, notice, asked_s)
         if vm_id in watch.unlisted:
@@ -174,7 +175,8 @@
     if probe.misses:
         log.info("VM reports its state again", vm=vm_id, count=probe.misses)
     is_same = probe.report and probe.report.started_ms == report.started_ms
-    if not is_same:
+    if not is_same or asked_s - probe.ordered_s > ORDER_EFFECT_S:
+        # Reports show its orders by now, whatever was answered to them.
         probe.left = None
     probe.orders = max(probe.orders if is_same else 0, report.orders)
     probe.report = report
@@ -183,6 +185,23 @@
     probe.missing_since_s = math.inf
 
 
+def _check_newer(probe: Probe, report: backends.Report) -> None:
+    """Check that a report is not an older one that was sent once more.
+
+    A second one in a row that looks so is believed.
+
+    Raises
+    ------
+    BackendCut
+        If it is.
+    """
+    before = probe.report
+    if before is None or before.started_ms != report.started_ms:
+        return
+    if report.orders < before.orders and not probe.misses:
+        raise exceptions.BackendCut("the report is older than the one before")
+
+
 async def _check_connection(backend: backends.Backend, probe: Probe) -> None:
     """Find out whether a VM that does not answer accepts connections.
 
@@ -203,7 +222,7 @@
     if probe.is_leaving or service is None:
         return
     probe.is_leaving = not await engines.is_staying(
-        watch.context.engine_pool, backend, service.health_path
+        backend, service.health_path
     )
     log.info(
         "server that left the registry was asked whether it stays",
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -13,6 +13,7 @@
 from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import registry
+from sycamorespool import exceptions
 from sycamorespool import vm_watch
 
 HEARTBEAT_S = 1.2
@@ -245,3 +246,23 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(main)
+
+
+class TestSecondReport:
+    # Review 5, its class: a copy of an older report, or an answer that was
+    # not the order's, was believed for good.
+    def test_older_report_is_refused_once(self):
+        probe = vm_watch.Probe(backends.Report(5, False, 0, 0))
+        older = backends.Report(4, False, 0, 0)
+        with pytest.raises(exceptions.BackendCut):
+            vm_watch._check_newer(probe, older)
+        probe.misses = 1
+        vm_watch._check_newer(probe, older)
+
+    @pytest.mark.parametrize(
+        ("orders", "started_ms"), [(5, 0), (6, 0), (1, 9)]
+    )
+    def test_other_reports_are_believed(self, orders, started_ms):
+        probe = vm_watch.Probe(backends.Report(5, False, 0, 0))
+        report = backends.Report(orders, False, 0, 0, started_ms=started_ms)
+        vm_watch._check_newer(probe, report)
