Bound the record cache by bytes too

Seen by the review in reading: 1,024 configurations of 250 KB each are more than the memory of a machine. Cause: the cache counted records only. The new test held 9 records of 4 MB before. Ruled out: the other caches of an entry, which hold values of bounded size. Now at most 16 MB a topic are kept; a reader that needs older records is told so, as before.

--- a/src/sycamorespool/record_cache.py
+++ b/src/sycamorespool/record_cache.py
@@ -7,6 +7,7 @@
 from sycamorespool.platform import pages
 
 KEPT_RECORDS = 1024
+KEPT_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,7 +17,8 @@
     Parameters
     ----------
     records : deque
-        At most ``KEPT_RECORDS`` records in offset order.
+        At most ``KEPT_RECORDS`` records in offset order, which together have
+        at most ``KEPT_BYTES``.
     next : Position
         Position after the last record.
     as_of_s : float
@@ -25,16 +27,21 @@
     """
 
     records: collections.deque[bytes] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=KEPT_RECORDS)
+        default_factory=collections.deque
     )
     next: pages.Position = pages.Position(0, 0)
     as_of_s: float = -math.inf
+    _size: int = 0
 
     def add_page(self, page: pages.Page, as_of_s: float) -> None:
         """Append a page; if its records do not follow, drop the older ones."""
         if (page.timeline, page.start) != self.next:
             self.records.clear()
+            self._size = 0
         self.records.extend(page.records)
+        self._size += sum(map(len, page.records))
+        while len(self.records) > KEPT_RECORDS or self._size > KEPT_BYTES:
+            self._size -= len(self.records.popleft())
         self.next = page.next
         self.as_of_s = as_of_s
 
--- a/tests/test_record_cache.py
+++ b/tests/test_record_cache.py
@@ -49,3 +49,14 @@
     assert cache.find_from(pages.Position(0, 6)) is None
     assert cache.find_from(pages.Position(1, 7)) is None
     assert cache.find_from(pages.Position(1, 8)) == [b"new"]
+
+
+def test_large_records_do_not_fill_the_memory():
+    cache = record_cache.RecordCache()
+    size = record_cache.KEPT_BYTES // 4
+    for offset in range(9):
+        page = pages.Page(offset, offset + 1, 0, (bytes(size),))
+        cache.add_page(page, 1.0)
+    assert sum(map(len, cache.records)) <= record_cache.KEPT_BYTES
+    assert len(cache.find_from(pages.Position(0, 5))) == 4
+    assert cache.find_from(pages.Position(0, 4)) is None
