Pass a target on as it was received, with the mark of an empty query

Cause: a scope has path and query only, and an empty query looks like none. The server now tells the target in an extension of the scope. Ruled out: percent-encoding, which was kept.

--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -28,6 +28,8 @@
 MAX_HEAD_BYTES = 32 * 1024
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
+# Extension of a scope that holds the target as it was received.
+RAW_TARGET = "sycamorespool.raw_target"
 
 
 class BodyTooLarge(Exception):
@@ -88,14 +90,29 @@
     }
     query_string = scope["query_string"].decode("latin-1")
     query = dict(urllib.parse.parse_qsl(query_string))
-    target = scope["raw_path"].decode("latin-1")
-    if query_string:
-        target = f"{target}?{query_string}"
     return Request(
-        scope["method"], scope["path"], query, headers, body, target
+        scope["method"],
+        scope["path"],
+        query,
+        headers,
+        body,
+        _find_target(scope),
     )
 
 
+def _find_target(scope: Scope) -> str:
+    """Return the target as it was received, if the server tells it.
+
+    A scope without it does not show whether there was an empty query.
+    """
+    received = scope.get("extensions", {}).get(RAW_TARGET, {}).get("target")
+    if received is not None:
+        return received.decode("latin-1")
+    target = scope["raw_path"].decode("latin-1")
+    query_string = scope["query_string"].decode("latin-1")
+    return f"{target}?{query_string}" if query_string else target
+
+
 async def read_body(receive: Receive, limit_bytes: int) -> bytes:
     """Read the whole body of a request.
 
--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -85,7 +85,7 @@
         "query_string": query,
         "root_path": "",
         "headers": list(request.headers),
-        "extensions": {},
+        "extensions": {asgi.RAW_TARGET: {"target": request.target}},
     }
 
 
