Let homes that have nothing in common allow no region

Cause: an empty set of regions stood for all of them, and the intersection was empty. None stands for all now.

--- a/src/sycamorespool/calls.py
+++ b/src/sycamorespool/calls.py
@@ -66,15 +66,24 @@
 
         ``excluded`` are the servers that it must not be sent to.
         """
-        regions = self.route.regions
-        if self.workspace and self.workspace.regions:
-            other = self.workspace.regions
-            regions = regions & other if regions else other
+        own = self.workspace.regions if self.workspace else frozenset()
         return placement.PlacementRequest(
-            self.service, self.request.model, regions, excluded
+            self.service,
+            self.request.model,
+            _combine_regions(self.route.regions, own),
+            excluded,
         )
 
 
+def _combine_regions(*homes: frozenset[str]) -> frozenset[str] | None:
+    """Return the regions that all homes allow, None if there are no homes.
+
+    Homes with nothing in common allow no region.
+    """
+    given = [regions for regions in homes if regions]
+    return frozenset.intersection(*given) if given else None
+
+
 def find_call(
     context: entry_context.EntryContext,
     request: caller_request.CallerRequest,
--- a/src/sycamorespool/decisions/limited_turns.py
+++ b/src/sycamorespool/decisions/limited_turns.py
@@ -25,7 +25,7 @@
 
     service: str
     model: str
-    regions: frozenset[str]
+    regions: frozenset[str] | None
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/sycamorespool/decisions/peer_choice.py
+++ b/src/sycamorespool/decisions/peer_choice.py
@@ -22,15 +22,15 @@
         Name of the entry that passes the call on.
     own_region : str
         Region where it runs.
-    regions : frozenset of str
-        Regions that may handle the call; empty for all.
+    regions : frozenset of str or None
+        Regions that may handle the call; None for all.
     excluded : collection of str
         Names of the entries that are not to get it.
     """
 
     own_name: str
     own_region: str
-    regions: frozenset[str]
+    regions: frozenset[str] | None
     excluded: abc.Collection[str]
 
 
@@ -60,7 +60,7 @@
     allowed = [
         name
         for name, region in regions.items()
-        if not request.regions or region in request.regions
+        if request.regions is None or region in request.regions
     ]
     names = near or allowed
     return names[int(fraction * len(names))] if names else None
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -165,15 +165,15 @@
         The requested service.
     model : str
         The requested model, empty for a plain service.
-    allowed_regions : frozenset of str
-        Regions that may serve the request; empty for all.
+    allowed_regions : frozenset of str or None
+        Regions that may serve the request; None for all.
     excluded : frozenset of str
         Ids of the servers that were tried already.
     """
 
     service: str
     model: str = ""
-    allowed_regions: frozenset[str] = frozenset()
+    allowed_regions: frozenset[str] | None = None
     excluded: frozenset[str] = frozenset()
 
 
@@ -211,7 +211,7 @@
         and backend.backend_id not in request.excluded
         and backend.data_centre not in placement.evacuated
         and (
-            not request.allowed_regions
+            request.allowed_regions is None
             or placement.regions.get(backend.data_centre)
             in request.allowed_regions
         )
--- a/tests/decisions/test_peer_choice.py
+++ b/tests/decisions/test_peer_choice.py
@@ -14,9 +14,12 @@
 }
 
 
-def choose(fraction=0.5, regions=(), excluded=(), entries=ENTRIES):
+def choose(fraction=0.5, regions=None, excluded=(), entries=ENTRIES):
     request = peer_choice.PeerRequest(
-        "e-a0", "east", frozenset(regions), set(excluded)
+        "e-a0",
+        "east",
+        None if regions is None else frozenset(regions),
+        set(excluded),
     )
     return peer_choice.choose(entries, REGION_OF, request, fraction)
 
@@ -38,6 +41,7 @@
         assert choose(excluded=near).startswith("e-c")
         assert choose(excluded=near, regions=["west"]).startswith("e-c")
         assert choose(excluded=near, regions=["east"]) is None
+        assert choose(excluded=near, regions=[]) is None
 
     def test_no_entry_is_chosen_if_there_is_no_other(self):
         assert choose(entries={"e-a0": ENTRIES["e-a0"]}) is None
