Never form a group again that was opened

Cause: a member restarts between the order to open and the plan that sees the group open. The formation stayed in memory, and once the head had left, its join was repeated. It landed late, when the members were already told to join another group.

Ruled out: the join that was on its way before (engines count the order to leave and refuse it).

Why it works: an open group is whole or ends, so that nothing has to join it any more.

--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/domain_planner.py
@@ -126,6 +126,9 @@
             self.memory.whole.add(group.name)
             self._keep_or_open(group, head, state)
         elif state in domain_view.RUNNING_STATES:
+            # It was opened, so it is never formed again: a join that is
+            # repeated could bring its head back once that has left.
+            self.memory.formations.pop(group.name, None)
             self._end_running(group, head, state)
         elif self._is_forming(group):
             self._continue_forming(group)
