Note what a server says in an answer that came through another entry

Cause: notices were read only from answers of servers themselves. The other entry now names the server and its start; callers are not told.

Ruled out: the registry, which may say so seconds later.

--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/attempts.py
@@ -258,13 +258,21 @@
                     backend, trio.current_time()
                 ),
             ) as answer:
-                if not peer_calls.is_peer(backend):
+                server = peer_calls.find_server(
+                    context, backend, answer.headers
+                )
+                if server is not None:
                     note_notice(
-                        context, backend, answer.status, answer.headers, sent_s
+                        context, server, answer.status, answer.headers, sent_s
                     )
                 activity.refusals = 0
                 movable.is_waiting = False
                 watched = _ObservedAnswer(answer, activity, movable)
+                if call.passed_on is not None:
+                    watched.headers = {
+                        **answer.headers,
+                        **headers.encode_served_by(backend),
+                    }
                 await _relay(call, watched, caller_answer, movable)
                 if not peer_calls.is_peer(backend):
                     first_s = watched.first_s - sent_s
--- a/src/sycamorespool/hosted_callers.py
+++ b/src/sycamorespool/hosted_callers.py
@@ -65,7 +65,9 @@
             "",
             events,
             {},
-            headers.select_answer_headers,
+            headers.select_peer_headers
+            if self._serves_peers
+            else headers.select_answer_headers,
         )
         request = headers.decode_request(
             scope["method"], target, scope["headers"], b""
--- a/src/sycamorespool/peer_calls.py
+++ b/src/sycamorespool/peer_calls.py
@@ -35,6 +35,26 @@
     return backend.backend_id.startswith(ID_PREFIX)
 
 
+def find_server(
+    context: entry_context.EntryContext,
+    backend: backends.Backend,
+    answer_headers: abc.Mapping[str, str],
+) -> backends.Backend | None:
+    """Return the server that gave an answer, None if it is not known.
+
+    Another entry names the server that answered a call passed on.
+    """
+    if not is_peer(backend):
+        return backend
+    named = headers.decode_served_by(answer_headers)
+    if named is None:
+        return None
+    backend_id, started_ms = named
+    found = context.registry.servers.get(backend_id)
+    is_same = found is not None and found.started_ms == started_ms
+    return found if is_same else None
+
+
 def find_peer(
     context: entry_context.EntryContext,
     call: calls.Call,
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -26,6 +26,9 @@
 # Between entries only: runs that a call may have had, and the version of the
 # configuration by which it was accepted.
 PASSED_ON = "x-passed-on"
+# Between entries only: the server that answered a call which was passed on,
+# and its start.
+SERVED_BY = "x-served-by"
 KEY_SCHEME = "bearer"
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -62,6 +65,7 @@
         "upgrade",
     ]
 )
+_NOT_RETURNED = _CONNECTION_HEADERS | {"content-type", SERVED_BY}
 _NOT_PASSED_ON = _CONNECTION_HEADERS | {
     "authorization",
     WORKSPACE,
@@ -221,10 +225,33 @@
     return {
         name: value
         for name, value in headers.items()
-        if name not in _CONNECTION_HEADERS and name != "content-type"
+        if name not in _NOT_RETURNED
     }
 
 
+def select_peer_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
+    """Return those of an answer's headers that another entry gets."""
+    return {
+        name: value
+        for name, value in headers.items()
+        if name not in _NOT_RETURNED or name == SERVED_BY
+    }
+
+
+def encode_served_by(backend: backends.Backend) -> dict[str, str]:
+    """Return the header that names the server of a call passed on."""
+    return {SERVED_BY: f"{backend.backend_id},{backend.started_ms}"}
+
+
+def decode_served_by(
+    headers: abc.Mapping[str, str],
+) -> tuple[str, int] | None:
+    """Return the id and start of the server that answered, if named."""
+    backend_id, _, text = headers.get(SERVED_BY, "").rpartition(",")
+    started_ms = decoding.read_count(text)
+    return None if started_ms is None else (backend_id, started_ms)
+
+
 def is_refusal(status: int, headers: abc.Mapping[str, str]) -> bool:
     """Tell whether an answer promises that the request was not run."""
     return status == MISDIRECTED or NOT_RUN in headers
--- a/tests/decisions/test_running_groups.py
+++ b/tests/decisions/test_running_groups.py
@@ -121,3 +121,31 @@
         view = dataclasses.replace(view, vms=vms)
         orders = plan(view, memory)
         assert LEAVE not in {order.kind for order in orders}, orders
+
+
+# TWO: a join that was repeated brought back the head of a group that had been
+# opened and ended, while its members were told to join another one.
+def test_group_that_was_opened_is_never_formed_again():
+    simulation = test_domain_planner.make_simulation()
+    memory = domain_view.PlannerMemory()
+    wanted = ["big"]
+    while not simulation.open_groups():
+        simulation.probe()
+        simulation.run_owner(1, memory, wanted)
+        wanted = []
+        simulation.step(0.5)
+    (group,) = simulation.open_groups()
+    assert group in memory.formations
+    simulation.restart(test_domain_planner.find_member(simulation, group, 1))
+    joined = []
+    for _ in range(40):
+        simulation.probe()
+        made = simulation.run_owner(1, memory, [])
+        joined += [
+            order
+            for order in made.orders
+            if order.kind is backends.OrderKind.JOIN and order.group == group
+        ]
+        simulation.step(0.1)
+    assert not simulation.open_groups()
+    assert not joined
--- a/tests/hosted/test_cut_links.py
+++ b/tests/hosted/test_cut_links.py
@@ -267,6 +267,28 @@
 
         run_hosted(scenario, entries=["entry-2"])
 
+    # An entry that got a server's notice through another one went on sending
+    # it requests once it reached it again.
+    def test_notice_that_came_through_another_entry_counts(
+        self, run_hosted, links
+    ):
+        async def scenario(fleet):
+            links.cut(cut_links.Cut.REFUSE, list_addresses(fleet.servers))
+            await ask_all(fleet, 3)
+            await trio.sleep(SETTLE_S)
+            leaving, other = fleet.servers
+            leaving.is_leaving = True
+            answers = [await fleet.ask("/orders/1") for _ in range(12)]
+            assert count_served(answers) == len(answers)
+            assert not any("x-served-by" in a.headers for a in answers)
+            links.repair()
+            seen = len(leaving.arrivals)
+            for number in range(12):
+                assert (await fleet.ask("/orders/1", number=number)).status
+            assert len(leaving.arrivals) == seen
+
+        run_hosted(scenario, entries=["entry-2"])
+
     def test_lookup_runs_at_no_more_servers_than_allowed(
         self, run_hosted, links
     ):
