--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/attempt_results.py
@@ -17,7 +17,7 @@
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
-from sycamorespool import peer_calls
+from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
 from sycamorespool import relay
 
--- a/src/sycamorespool/config_follower.py
+++ b/src/sycamorespool/config_follower.py
@@ -16,7 +16,7 @@
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import topic_follower
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/forwarding.py
@@ -24,7 +24,7 @@
 from sycamorespool import exceptions
 from sycamorespool import limited_calls
 from sycamorespool import logs
-from sycamorespool import peer_calls
+from sycamorespool.peers import peer_calls
 from sycamorespool import relay
 
 # Fraction of ``bounds.retry_ratio`` that an entry spends, as the limit holds
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -21,11 +21,11 @@
 from sycamorespool import metrics_page
 from sycamorespool import node_settings
 from sycamorespool import partition_share
-from sycamorespool import peer_calls
-from sycamorespool import peer_probes
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_calls
+from sycamorespool.peers import peer_probes
+from sycamorespool.peers import peer_reads
+from sycamorespool.peers import reach_watch
 from sycamorespool.platform import headers
-from sycamorespool import reach_watch
 from sycamorespool import registry_follower
 from sycamorespool import server_ends
 from sycamorespool import stall_detection
--- a/src/sycamorespool/hosted_callers.py
+++ b/src/sycamorespool/hosted_callers.py
@@ -13,7 +13,7 @@
 from sycamorespool import exceptions
 from sycamorespool import forwarding
 from sycamorespool import logs
-from sycamorespool import peer_calls
+from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
 from sycamorespool import relay
 
--- /dev/null
+++ b/src/sycamorespool/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Reads, probes and calls other entries; used by ``hosted`` only."""
--- a/src/sycamorespool/peer_probes.py
+++ b/src/sycamorespool/peers/peer_probes.py
@@ -17,7 +17,7 @@
 from sycamorespool import backends
 from sycamorespool import entry_context
 from sycamorespool import http_client
-from sycamorespool import reach_watch
+from sycamorespool.peers import reach_watch
 from sycamorespool import sockets
 
 PATH = "/server"
--- a/src/sycamorespool/registry_follower.py
+++ b/src/sycamorespool/registry_follower.py
@@ -9,7 +9,7 @@
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
 from sycamorespool import logs
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import topic_follower
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -25,8 +25,8 @@
 from sycamorespool import exceptions
 from sycamorespool import limit_reports
 from sycamorespool import logs
-from sycamorespool import peer_probes
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_probes
+from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import topic_follower
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -34,9 +34,9 @@
 from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
 from sycamorespool import logs
-from sycamorespool import peer_calls
+from sycamorespool.peers import peer_calls
+from sycamorespool.peers import reach_watch
 from sycamorespool.platform import engines
-from sycamorespool import reach_watch
 
 CHECK_PERIOD_S = 0.05
 # A report takes a few ms; a member that needs longer is taken as dead.
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -10,7 +10,7 @@
 from sycamorespool import asgi_server
 from sycamorespool import hosted
 from sycamorespool import http_client
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from sycamorespool.standins import hosted_engine
 from sycamorespool.standins import hosted_store
 from tests.hosted import cut_links
--- a/tests/hosted/test_path.py
+++ b/tests/hosted/test_path.py
@@ -6,7 +6,7 @@
 from examples import processes
 from sycamorespool import asgi
 from sycamorespool.decisions import rendezvous
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from tests.hosted import fleet as fleets
 
 # Records of this age, fetched every half second, would let an entry send
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -28,7 +28,7 @@
 from sycamorespool import http_client
 from sycamorespool import limit_reports
 from sycamorespool import metrics
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from sycamorespool.platform import headers
 from sycamorespool.platform import pages
 from sycamorespool.platform import store
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sycamorespool import backends
-from sycamorespool import peer_calls
+from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
 
 SERVER = backends.Backend(
--- a/tests/test_peer_probes.py
+++ b/tests/test_peer_probes.py
@@ -13,7 +13,7 @@
 from sycamorespool.decisions import server_activity
 from sycamorespool.decisions import store_readers
 from sycamorespool import http_client
-from sycamorespool import peer_probes
+from sycamorespool.peers import peer_probes
 
 SERVERS = [f"i-{number}" for number in range(6)]
 
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -5,7 +5,7 @@
 
 from sycamorespool.decisions import store_readers
 from sycamorespool import entry_context
-from sycamorespool import peer_reads
+from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool import record_cache
 
