--- a/src/sycamorespool/callers/app.py
+++ b/src/sycamorespool/callers/app.py
@@ -21,7 +21,7 @@
 from sycamorespool import exceptions
 from sycamorespool.keys import keyed_calls
 from sycamorespool import logs
-from sycamorespool import relay
+from sycamorespool.requests import relay
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 SERVICES_PREFIX = "/services/"
--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -4,8 +4,8 @@
 when it is repeated there (a query of death).  The cause is often a part of
 its prompt that other requests share, or the request itself, which is
 repeated and named by its identity (see
-:mod:`sycamorespool.request_identity`).  Both are traits of the request.  Each
-entry combines what all entries saw: the servers that ended, with the requests
+:mod:`sycamorespool.requests.request_identity`).  Both are traits of the
+request.  Each entry combines what all entries saw: the servers that ended, with the requests
 that were not yet answered there, and the traits of requests that were
 served::
 
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -19,12 +19,12 @@
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import routing
 from sycamorespool import environment
-from sycamorespool import event_counts
 from sycamorespool import exceptions
 from sycamorespool import invariants
 from sycamorespool import models
-from sycamorespool import relay
 from sycamorespool import request_history
+from sycamorespool.requests import event_counts
+from sycamorespool.requests import relay
 
 RETRY_AFTER_S = 1.0
 TIMEOUT_HEADER = "x-timeout-s"
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -22,7 +22,6 @@
 from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
-from sycamorespool import cut_requests
 from sycamorespool.decisions import cold_limits
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import limited_turns
@@ -40,6 +39,7 @@
 from sycamorespool.platform import headers
 from sycamorespool.platform import store
 from sycamorespool import record_cache
+from sycamorespool.requests import cut_requests
 from sycamorespool import routing_table
 
 # A configuration is trusted for this fraction of ``bounds.revoke_ms``, the
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -16,7 +16,6 @@
 from sycamorespool import entry_announcements
 from sycamorespool import entry_context
 from sycamorespool import exceptions
-from sycamorespool import hosted_callers
 from sycamorespool import logs
 from sycamorespool import metrics_page
 from sycamorespool import node_settings
@@ -27,6 +26,7 @@
 from sycamorespool.peers import reach_watch
 from sycamorespool.platform import headers
 from sycamorespool import registry_follower
+from sycamorespool.requests import hosted_callers
 from sycamorespool import server_ends
 from sycamorespool import stall_detection
 
--- a/src/sycamorespool/keys/keyed_calls.py
+++ b/src/sycamorespool/keys/keyed_calls.py
@@ -24,7 +24,7 @@
 from sycamorespool.keys import key_streams
 from sycamorespool import logs
 from sycamorespool import records
-from sycamorespool import relay
+from sycamorespool.requests import relay
 
 KEY_HEADER = "idempotency-key"
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,255}")
--- a/src/sycamorespool/peers/peer_calls.py
+++ b/src/sycamorespool/peers/peer_calls.py
@@ -13,13 +13,13 @@
 
 from sycamorespool import asgi
 from sycamorespool import backends
-from sycamorespool import call_attempts
-from sycamorespool import calls
 from sycamorespool.decisions import peer_choice
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import reachability
 from sycamorespool import entry_context
 from sycamorespool.platform import headers
+from sycamorespool.requests import call_attempts
+from sycamorespool.requests import calls
 
 # Begins the id that an entry has among the servers of a call.
 ID_PREFIX = "entry/"
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -6,8 +6,8 @@
 import re
 
 from sycamorespool import backends
-from sycamorespool import caller_request
 from sycamorespool import decoding
+from sycamorespool.requests import caller_request
 
 ATTEMPT = "sycamorespool-attempt-id"
 DEADLINE = "sycamorespool-deadline-ms"
--- a/src/sycamorespool/attempt_results.py
+++ b/src/sycamorespool/requests/attempt_results.py
@@ -7,10 +7,7 @@
 
 import trio
 
-from sycamorespool import attempts
 from sycamorespool import backends
-from sycamorespool import call_attempts
-from sycamorespool import calls
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import reachability
 from sycamorespool.decisions import retries
@@ -19,7 +16,10 @@
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
-from sycamorespool import relay
+from sycamorespool.requests import attempts
+from sycamorespool.requests import call_attempts
+from sycamorespool.requests import calls
+from sycamorespool.requests import relay
 
 # When a caller whose request no server accepted may try again.
 NO_SERVER_RETRY_AFTER_S = 1.0
--- a/src/sycamorespool/attempts.py
+++ b/src/sycamorespool/requests/attempts.py
@@ -9,7 +9,7 @@
 begins beside it (a hedged request), and the first of them whose answer goes
 on takes the lead and ends the others: the silent one with its next bytes,
 one beside it with a whole event or a whole answer.  What follows a failed
-attempt is decided in :mod:`sycamorespool.attempt_results`.
+attempt is decided in :mod:`sycamorespool.requests.attempt_results`.
 """
 
 from collections import abc
@@ -19,8 +19,6 @@
 
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
-from sycamorespool import call_attempts
-from sycamorespool import calls
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
 from sycamorespool.decisions import server_limits
@@ -29,7 +27,9 @@
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
-from sycamorespool import relay
+from sycamorespool.requests import call_attempts
+from sycamorespool.requests import calls
+from sycamorespool.requests import relay
 
 # A repeatable request may go to another server after a silence of the longest
 # of these, of a multiple of the mean time to the first byte, and of a time for
--- a/src/sycamorespool/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
-from sycamorespool import caller_request
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
-from sycamorespool import request_identity
+from sycamorespool.requests import caller_request
+from sycamorespool.requests import request_identity
 from sycamorespool import routing_table
 
 NOT_READY_RETRY_AFTER_S = 0.5
--- a/src/sycamorespool/event_counts.py
+++ b/src/sycamorespool/requests/event_counts.py
@@ -7,7 +7,8 @@
     events.take(b"data: a\\n\\ndata: b")  # b"data: a\\n\\n"
     events.count  # 1
 
-:mod:`sycamorespool.event_ids` has the tracker of streams with event ids.
+The tracker of streams with event ids is in
+:mod:`sycamorespool.requests.event_ids`.
 """
 
 import dataclasses
--- a/src/sycamorespool/event_ids.py
+++ b/src/sycamorespool/requests/event_ids.py
@@ -3,8 +3,8 @@
 import dataclasses
 import re
 
-from sycamorespool import event_counts
 from sycamorespool import exceptions
+from sycamorespool.requests import event_counts
 
 # Lines of a field's name, a colon and its value, up to a blank line.
 _OTHER_FIELDS = rb"(?:(?!id:)[a-z0-9_-]*:[^\n]*\n)*"
--- a/src/sycamorespool/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -12,20 +12,20 @@
 import trio
 
 from sycamorespool import asgi
-from sycamorespool import attempt_results
-from sycamorespool import attempts
 from sycamorespool import backends
-from sycamorespool import call_attempts
-from sycamorespool import calls
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
-from sycamorespool import limited_calls
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
-from sycamorespool import relay
+from sycamorespool.requests import attempt_results
+from sycamorespool.requests import attempts
+from sycamorespool.requests import call_attempts
+from sycamorespool.requests import calls
+from sycamorespool.requests import limited_calls
+from sycamorespool.requests import relay
 
 # Fraction of ``bounds.retry_ratio`` that an entry spends, as the limit holds
 # for the whole fleet and is counted in windows.
--- a/src/sycamorespool/hosted_callers.py
+++ b/src/sycamorespool/requests/hosted_callers.py
@@ -6,16 +6,16 @@
 import trio
 
 from sycamorespool import asgi
-from sycamorespool import caller_request
-from sycamorespool import calls
 from sycamorespool import entry_context
-from sycamorespool import event_ids
 from sycamorespool import exceptions
-from sycamorespool import forwarding
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
-from sycamorespool import relay
+from sycamorespool.requests import caller_request
+from sycamorespool.requests import calls
+from sycamorespool.requests import event_ids
+from sycamorespool.requests import forwarding
+from sycamorespool.requests import relay
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BODY_TIMEOUT_S = 10.0
--- a/src/sycamorespool/limited_calls.py
+++ b/src/sycamorespool/requests/limited_calls.py
@@ -16,12 +16,12 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool import calls
 from sycamorespool.decisions import limited_turns
 from sycamorespool.decisions import server_limits
 from sycamorespool.decisions import shares
 from sycamorespool import entry_context
 from sycamorespool import exceptions
+from sycamorespool.requests import calls
 
 CHECK_PERIOD_S = 0.05
 
--- a/src/sycamorespool/relay.py
+++ b/src/sycamorespool/requests/relay.py
@@ -17,8 +17,8 @@
 
 from sycamorespool import asgi
 from sycamorespool import decoding
-from sycamorespool import event_counts
 from sycamorespool import exceptions
+from sycamorespool.requests import event_counts
 
 EVENT_STREAM = "text/event-stream"
 # Size up to which an answer that is no stream is buffered as a whole.
--- a/src/sycamorespool/request_identity.py
+++ b/src/sycamorespool/requests/request_identity.py
@@ -10,8 +10,8 @@
 
 import hmac
 
-from sycamorespool import caller_request
 from sycamorespool.decisions import fatal_traits
+from sycamorespool.requests import caller_request
 
 DIGEST_BYTES = 8
 
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -17,7 +17,6 @@
 
 import trio
 
-from sycamorespool import attempts
 from sycamorespool import backends
 from sycamorespool.decisions import fatal_traits
 from sycamorespool import end_reports
@@ -29,6 +28,7 @@
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
+from sycamorespool.requests import attempts
 from sycamorespool import topic_follower
 
 # How long the store waits for a report.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,12 +5,12 @@
 import pytest
 import trio
 
-from sycamorespool import attempts
 from sycamorespool import backends
-from sycamorespool import call_attempts
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
 from sycamorespool import exceptions
+from sycamorespool.requests import attempts
+from sycamorespool.requests import call_attempts
 
 
 @pytest.mark.parametrize(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sycamorespool import asgi
-from sycamorespool import calls
+from sycamorespool.requests import calls
 
 
 # HOME: homes of a route and of a workspace with nothing in common were taken
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,7 +15,7 @@
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
-from sycamorespool import relay
+from sycamorespool.requests import relay
 from sycamorespool import settings
 from tests import key_fleet
 
--- a/tests/test_event_ids.py
+++ b/tests/test_event_ids.py
@@ -1,8 +1,8 @@
 import pytest
 
-from sycamorespool import event_counts
-from sycamorespool import event_ids
 from sycamorespool import exceptions
+from sycamorespool.requests import event_counts
+from sycamorespool.requests import event_ids
 
 
 def make_event(number):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -30,7 +30,7 @@
     {"backend_servers", "callers", "entries", "operators", "platform"}
 )
 # One job each, for which several modules work together.
-JOB_PACKAGES = frozenset({"keys", "peers"})
+JOB_PACKAGES = frozenset({"keys", "peers", "requests"})
 SUBPACKAGES = ADAPTER_PACKAGES | JOB_PACKAGES | {"decisions", "standins"}
 PURE_LIBRARIES = frozenset(
     [
--- a/tests/test_lead.py
+++ b/tests/test_lead.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from sycamorespool import call_attempts
 from sycamorespool.decisions import retries
+from sycamorespool.requests import call_attempts
 
 
 def make_pair():
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,10 +5,10 @@
 import pytest
 import trio
 
-from sycamorespool import event_counts
-from sycamorespool import event_ids
 from sycamorespool import exceptions
-from sycamorespool import relay
+from sycamorespool.requests import event_counts
+from sycamorespool.requests import event_ids
+from sycamorespool.requests import relay
 
 EVENTS = [
     b'data: {"a": "data: x\\n\\n"}\n\n',
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from sycamorespool import caller_request
 from sycamorespool.decisions import fatal_traits
-from sycamorespool import request_identity
+from sycamorespool.requests import caller_request
+from sycamorespool.requests import request_identity
 
 REQUEST = caller_request.CallerRequest(
     attempt_id="a1",
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -9,13 +9,13 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool import call_attempts
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import reachability
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import retries
 from sycamorespool.decisions import server_activity
 from sycamorespool.platform import engines
+from sycamorespool.requests import call_attempts
 from sycamorespool import stall_detection
 
 GROUP_SIZE = 3
