--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -5,9 +5,9 @@
 its prompt that other requests share, or the request itself, which is
 repeated and named by its identity (see
 :mod:`sycamorespool.requests.request_identity`).  Both are traits of the
-request.  Each entry combines what all entries saw: the servers that ended, with the requests
-that were not yet answered there, and the traits of requests that were
-served::
+request.  Each entry combines what all entries saw: the servers that ended,
+with the requests that were not yet answered there, and the traits of requests
+that were served::
 
     note_end(state, ServerEnd("i-1", 7, frozenset({("aa", "bad", "c1")})), 9.0)
     review(state, 9.0)
