--- a/tests/hosted/raw_server.py
+++ b/tests/hosted/raw_server.py
@@ -26,6 +26,7 @@
     def __init__(self, nursery, scripts):
         self.address = processes.find_free_address()
         self.heads = []
+        self._sequence = 0
         self._nursery = nursery
         self._scripts = list(scripts)
 
@@ -54,7 +55,8 @@
                 return
 
     def write_record(self, store, vm_id, service):
-        """Write its record to the registry."""
+        """Write its record to the registry, with the next sequence."""
+        self._sequence += 1
         store.put(
             "keyed.servers",
             vm_id,
@@ -65,7 +67,7 @@
                 "version": "v1",
                 "slots": 4,
                 "state": "ready",
-                "sequence": 1,
+                "sequence": self._sequence,
                 "cold_left_ms": 0,
                 "born": 1,
             },
