Let the share for cold servers wait until its former holder has let go

Ruled out: the lease, after which the cut entry sent nothing for 2 s.

Why it works: the partitions' handover time, which limits of servers had from the start, now holds for cold servers too. Retry budgets keep the plain share: a share that grows adds no retries at once.

--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -154,6 +154,17 @@
     state.lease_end_s = joined_s + ttl_s
 
 
+def find_usable_share(state: ServerLimits, now_s: float) -> float:
+    """Return the part of all partitions that only this entry may use now.
+
+    Partitions that their former holder may still use do not count.
+    """
+    if now_s > state.lease_end_s:
+        return 0.0
+    usable = sum(from_s <= now_s for from_s in state.usable_from_s.values())
+    return usable / len(state.partitions)
+
+
 def release(state: ServerLimits) -> None:
     """Give up all partitions."""
     state.usable_from_s = {}
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -272,7 +272,7 @@
             self.cold,
             backend_id,
             per_s,
-            self.find_share(),
+            server_limits.find_usable_share(self.limits, boot_time_s()),
             rendezvous.weigh(self.name, backend_id) / rendezvous.WEIGHT_LIMIT,
             now_s,
         )
--- a/tests/decisions/test_server_limits.py
+++ b/tests/decisions/test_server_limits.py
@@ -341,3 +341,24 @@
         limit = server_limits.Limit(1.0, 4)
         server_limits.note_report(state, "i", limit, 90.0)
         assert server_limits.find_limit(state, "i", 5).per_s == 2.0
+
+
+class TestUsableShare:
+    # Review 4 (FAILBACK): an entry that got its share back used it while the
+    # other entry still used the whole.
+    def test_it_waits_for_the_former_holder(self):
+        state = server_limits.ServerLimits(PARTITIONS)
+        held = set(PARTITIONS[: len(PARTITIONS) // 2])
+        server_limits.renew(state, held, 50.0, TTL_S, 50.1)
+        assert server_limits.find_usable_share(state, 50.2) == 0.0
+        later_s = 50.1 + server_limits.HANDOVER_S
+        server_limits.renew(state, held, 52.0, TTL_S, 52.1)
+        assert server_limits.find_usable_share(state, later_s) == 0.5
+
+    def test_it_ends_with_the_lease(self):
+        state = server_limits.ServerLimits(PARTITIONS)
+        server_limits.renew(state, set(PARTITIONS), 50.0, 9.0, 50.1)
+        assert server_limits.find_usable_share(state, 59.0) == 1.0
+        assert server_limits.find_usable_share(state, 59.1) == 0.0
+        server_limits.renew(state, set(PARTITIONS), 60.0, 9.0, 60.1)
+        assert server_limits.find_usable_share(state, 60.2) == 0.0
