Let no odd number in a record lock its server out

Cause: the order of records trusted any number. Starts are bounded by the year 2100 now and counts by 10^9, and what is known of a server gives way if its records come but none was newer for 10 s, longer than the store is late. Listings of restored stores are no sign of that.

Ruled out: a late record of a server that drains, which comes sooner; times after an outage, which are counted from its end. The new test fails without the change.

--- a/src/sycamorespool/decisions/registry.py
+++ b/src/sycamorespool/decisions/registry.py
@@ -23,6 +23,8 @@
 REMOVAL_HOLD_S = 2.2
 # A removal this soon after an outage may be an effect of the outage.
 POST_OUTAGE_S = 5.0
+# No record is written later than this after it was sent.
+LATE_WRITE_S = 10.0
 # How long a removed server is remembered.  A copy from which the platform's
 # store is restored is not older than this, and no entry is written later.
 REMOVED_KEEP_S = 60.0
@@ -166,7 +168,8 @@
     if backend is None:
         _remove(registry, backend_id, now_s)
         return True
-    if _is_outdated(registry, backend):
+    is_outdated = _is_outdated(registry, backend)
+    if is_outdated and not _is_known_ahead(registry, backend_id, now_s):
         return False
     before = registry.servers.get(backend_id)
     registry.last_heartbeat_s[backend_id] = now_s
@@ -229,6 +232,17 @@
     return Instant(backend.started_ms, backend.sequence)
 
 
+def _is_known_ahead(registry: Registry, backend_id: str, now_s: float) -> bool:
+    """Tell whether what is known of a server must be of another writer.
+
+    Its own entries come, but none was newer for ``LATE_WRITE_S``.
+    """
+    if backend_id not in registry.servers:
+        return False
+    known_s = registry.last_heartbeat_s[backend_id]
+    return now_s - max(known_s, registry.outage_end_s) > LATE_WRITE_S
+
+
 def _is_outdated(registry: Registry, backend: backends.Backend) -> bool:
     """Tell whether an entry is older than what is known of its server.
 
@@ -289,7 +303,7 @@
     now_s: float,
 ) -> None:
     for backend_id, backend in entries.items():
-        if backend is not None:
+        if backend is not None and not _is_outdated(registry, backend):
             apply_entry(registry, backend_id, backend, now_s)
 
 
--- a/src/sycamorespool/decoding.py
+++ b/src/sycamorespool/decoding.py
@@ -24,10 +24,16 @@
 # Integers up to this are exact in all parsers of JSON.
 MAX_COUNT = 2**53 - 1
 MAX_AMOUNT = 1e15
+# Milliseconds of Unix time until the year 2100.
+MAX_UNIX_MS = 4_102_444_800_000
+# What a process counts one by one, such as its heartbeats.
+MAX_STEPS = 10**9
 # Digits of an integer in a text, all of which fit into 64 bits.
 MAX_DIGITS = 15
 
 Count = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Steps = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_STEPS)]
+UnixMs = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 Integer = t.Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Amount = t.Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AMOUNT)]
 
--- a/src/sycamorespool/end_reports.py
+++ b/src/sycamorespool/end_reports.py
@@ -52,17 +52,17 @@
 
 class _End(msgspec.Struct):
     vm: str
-    started_ms: decoding.Count
+    started_ms: decoding.UnixMs
     prompts: list[tuple[str, ...]]
-    at_ms: decoding.Count
+    at_ms: decoding.UnixMs
 
 
 class _Served(msgspec.Struct):
-    served_ms: dict[str, decoding.Count]
+    served_ms: dict[str, decoding.UnixMs]
 
 
 class _Block(msgspec.Struct):
-    until_ms: decoding.Count
+    until_ms: decoding.UnixMs
 
 
 def encode_end(
--- a/src/sycamorespool/limit_reports.py
+++ b/src/sycamorespool/limit_reports.py
@@ -30,7 +30,7 @@
 
 class _Report(msgspec.Struct):
     per_s: decoding.Amount
-    started_ms: decoding.Count
+    started_ms: decoding.UnixMs
 
 
 def encode(backend_id: str, limit: server_limits.Limit | None) -> bytes:
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -115,22 +115,22 @@
     slots: decoding.Count = 1
     cold_left_ms: _ColdMs = 0.0
     # A count of heartbeats here, but of orders in a report.
-    sequence: decoding.Count = 0
+    sequence: decoding.Steps = 0
     domain: str | decoding.Integer | None = None
     staged: tuple[str, ...] = ()
     group: _Member | None = None
-    born: decoding.Count = 0
+    born: decoding.UnixMs = 0
 
 
 class _Report(msgspec.Struct):
-    sequence: decoding.Count = 0
+    sequence: decoding.Steps = 0
     busy: bool = False
     queued: decoding.Count = 0
     running: decoding.Count = 0
     pace: decoding.Amount = 1.0
     staged: tuple[str, ...] = ()
     group: _Member | None = None
-    born: decoding.Count = 0
+    born: decoding.UnixMs = 0
 
 
 def _decode_route(route: _Route) -> routing_table.Route:
--- a/tests/decisions/test_registry.py
+++ b/tests/decisions/test_registry.py
@@ -201,3 +201,15 @@
         take(state, 1.0, sequence=4)
         registry.replace_all(state, {"i-1": None}, 52.0)
         assert "i-1" in state.servers
+
+    # Report 1: an odd record must not lock its server out for good.
+    @pytest.mark.parametrize("ahead", [{"sequence": 900}, {"started_ms": 9}])
+    def test_record_that_is_ahead_of_its_server_ends(self, ahead):
+        state = registry.Registry()
+        take(state, 1.0, **{"sequence": 4, **ahead})
+        for number in range(9):
+            take(state, 2.0 + number, sequence=5 + number)
+        assert state.last_heartbeat_s["i-1"] == 1.0
+        late_s = 1.1 + registry.LATE_WRITE_S
+        take(state, late_s, sequence=14, is_draining=True)
+        assert state.servers["i-1"].is_draining
