--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -60,6 +60,8 @@
         [
             placement.PlacementRequest("s", excluded=frozenset({"a"})),
             placement.PlacementRequest("s", allowed_regions=frozenset({"r2"})),
+            # HOME: homes with nothing in common were taken for none.
+            placement.PlacementRequest("s", allowed_regions=frozenset()),
             placement.PlacementRequest("other"),
         ],
     )
