Let members use at once the part of the fleet's limits that others left

What callers saw: for 2.6 s after an entry had left, or after the store had given its partitions away, cold servers got less than they take.

Cause: find_usable_share counted only partitions that had been held for HANDOVER_S. That wait is for what a former holder may still use. For this limit only the number of partitions counts, and the number of a member grows only by what others released or what their lease no longer covers, as a lease ends before the store gives its partitions away. So only what a new member gets has to wait, and what a restored store gives, which may have forgotten a member whose lease goes on.

Ruled out: the same for the limits that servers name. Their buckets belong to single partitions, which also move between members that stay.

The simulated fleets now also check that the shares sum up to 1 at most, while entries come, go, are cut off and freeze.

--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -112,6 +112,11 @@
         From when this entry may use the partitions that it holds.
     lease_end_s : float
         Until when they are its own, unless the store is called again.
+    grows_from_s : float
+        From when this entry's part of all partitions may be more than
+        ``former_count`` of them.
+    former_count : int
+        Partitions that it might use before.
     """
 
     partitions: tuple[Partition, ...]
@@ -121,6 +126,8 @@
         default_factory=dict
     )
     lease_end_s: float = -math.inf
+    grows_from_s: float = -math.inf
+    former_count: int = 0
     _buckets: dict[str, _Bucket] = dataclasses.field(default_factory=dict)
 
 
@@ -135,6 +142,7 @@
     joined_s: float,
     ttl_s: float,
     now_s: float,
+    is_restored: bool = False,
 ) -> None:
     """Renew the lease of the partitions that the store assigned.
 
@@ -144,8 +152,13 @@
         When the call of the store began.
     ttl_s : float
         How long after it the store keeps the partitions for this entry.
+    is_restored : bool
+        Whether the store has come back from a copy since the last call.
     """
     _fill_all(state, now_s)
+    if now_s > state.lease_end_s or is_restored:
+        state.former_count = _count_usable(state, now_s)
+        state.grows_from_s = now_s + HANDOVER_S
     known_s = state.usable_from_s if now_s <= state.lease_end_s else {}
     state.usable_from_s = {
         partition: known_s.get(partition, now_s + HANDOVER_S)
@@ -157,12 +170,21 @@
 def find_usable_share(state: ServerLimits, now_s: float) -> float:
     """Return the part of all partitions that only this entry may use now.
 
-    Partitions that their former holder may still use do not count.
+    Which of them it holds does not count here, only how many.  The number
+    of a member grows only by what others have given up or what their lease
+    no longer covers.  Nobody has given up what a new member gets, nor what a
+    restored store gives, which may have forgotten a member.
     """
+    return _count_usable(state, now_s) / len(state.partitions)
+
+
+def _count_usable(state: ServerLimits, now_s: float) -> int:
     if now_s > state.lease_end_s:
-        return 0.0
-    usable = sum(from_s <= now_s for from_s in state.usable_from_s.values())
-    return usable / len(state.partitions)
+        return 0
+    held = len(state.usable_from_s)
+    if now_s < state.grows_from_s:
+        return min(held, state.former_count)
+    return held
 
 
 def release(state: ServerLimits) -> None:
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -97,6 +97,7 @@
                 # The store may have handled the join after the leave.
                 await release(context)
                 return
+            is_restored = assignment.timeline != context.assignment.timeline
             has_changed = _apply_assignment(context, assignment)
             _set_share(context, joined_s + ttl_s)
             server_limits.renew(
@@ -105,6 +106,7 @@
                 joined_s,
                 ttl_s,
                 entry_context.boot_time_s(),
+                is_restored,
             )
             failures.note_success()
             is_busy = has_changed or context.owns_domains
--- a/tests/decisions/test_server_limits.py
+++ b/tests/decisions/test_server_limits.py
@@ -93,6 +93,11 @@
             if server_limits.find_limit(state, "i", 1) is not None
         ]
         assert sum(parts_per_s) <= self.per_s * 1.001
+        shares = [
+            server_limits.find_usable_share(state, self.now_s)
+            for state in self.states.values()
+        ]
+        assert sum(shares) <= 1.001
 
     def count_most(self):
         times_s, most, first = self.sent_s, 0, 0
@@ -362,3 +367,34 @@
         assert server_limits.find_usable_share(state, 59.1) == 0.0
         server_limits.renew(state, set(PARTITIONS), 60.0, 9.0, 60.1)
         assert server_limits.find_usable_share(state, 60.2) == 0.0
+
+    # Half of a cold server's limit was unused for as long after an entry had
+    # left as after one had come.
+    def test_member_uses_at_once_what_others_have_left(self):
+        state = self._join(len(PARTITIONS) // 2)
+        server_limits.renew(state, set(PARTITIONS), 55.0, TTL_S, 55.1)
+        assert server_limits.find_usable_share(state, 55.1) == 1.0
+
+    # A restored store may have forgotten a member that holds its share.
+    def test_member_waits_with_what_a_restored_store_gives(self):
+        state = self._join(len(PARTITIONS) // 2)
+        server_limits.renew(state, set(PARTITIONS), 55.0, 9.0, 55.1, True)
+        grown_s = 55.1 + server_limits.HANDOVER_S
+        assert server_limits.find_usable_share(state, grown_s - 0.1) == 0.5
+        assert server_limits.find_usable_share(state, grown_s) == 1.0
+
+    def test_released_share_is_not_used(self):
+        state = self._join(len(PARTITIONS))
+        server_limits.release(state)
+        assert server_limits.find_usable_share(state, 55.0) == 0.0
+
+    def _join(self, count):
+        """Return the state of a member that may use all that it holds."""
+        state = server_limits.ServerLimits(PARTITIONS)
+        held = set(PARTITIONS[:count])
+        server_limits.renew(state, held, 50.0, 6.0, 50.1)
+        server_limits.renew(state, held, 54.0, 6.0, 54.1)
+        assert server_limits.find_usable_share(state, 54.1) == count / len(
+            PARTITIONS
+        )
+        return state
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -177,3 +177,24 @@
     context = make_context(platform_store, store.Assignment(9, frozenset(), 1))
     trio.run(partition_share.release, context)
     assert context.shares == [(0.0, -math.inf)]
+
+
+class RestoringStore(FakeStore):
+    """A store that comes back from a copy before its third join."""
+
+    async def join(self, group, member, topics, ttl_s, generation):
+        if len(self.generations) == 2:
+            self.newest_timeline += 1
+        return await super().join(group, member, topics, ttl_s, generation)
+
+
+def test_join_tells_whether_the_store_was_restored(monkeypatch):
+    told = []
+    monkeypatch.setattr(
+        server_limits, "renew", lambda *args: told.append(args[-1])
+    )
+    context = make_context(
+        RestoringStore(1), store.Assignment(9, frozenset(), 1)
+    )
+    hold(context, 4.5 * partition_share.JOIN_PERIOD_S)
+    assert told == [False, False, True, False]
