Wait until all entries know the raw servers of a test

Cause: raw_fleet.Servers.start slept for 0.5 s, which is also the period in which entries read the registry. Traced on the code before, with the time of each removal at each entry: 32 plays of this test beside load, 2 failed; in the 30 others the last entry dropped the server 0.20 to 0.43 s after its removal, in the 2 failed ones one entry had not dropped it by the end. Before that, 1 of 100 plays failed without the trace.

Ruled out: an old entry that comes back (no entry added the server again).

start() now waits until each entry's metric servers_known shows first that the others are gone and then that the raw ones are known, which is stricter than the sleep.

--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -108,6 +108,7 @@
         self.callers = processes.find_free_address()
         self.readiness = processes.find_free_address()
         self.metrics = processes.find_free_address()
+        self.metrics_pages = [self.metrics]
         self.peers = processes.find_free_address()
         self.store_address = processes.find_free_address()
         self.path = tmp_path / "entry.ini"
@@ -184,12 +185,14 @@
     async def add_entry(self, name):
         """Run a further entry, and wait until it has announced itself."""
         path = self.folder / f"{name}.ini"
+        metrics = processes.find_free_address()
+        self.metrics_pages.append(metrics)
         path.write_text(
             hosted_settings.render(
                 name=name,
                 callers=processes.find_free_address(),
                 readiness=processes.find_free_address(),
-                metrics=processes.find_free_address(),
+                metrics=metrics,
                 peers=processes.find_free_address(),
                 store=self.store_address,
             )
@@ -217,13 +220,28 @@
 
     async def read_metric(self, name):
         """Return the value of a metric without labels of the entry, or 0."""
-        url = f"http://{self.metrics}/metrics"
+        return await self._read_metric(self.metrics, name)
+
+    async def _read_metric(self, address, name):
+        url = f"http://{address}/metrics"
         page = await http_client.exchange(self.pool, "GET", url)
         values = dict(
             line.rsplit(" ", 1) for line in page.body.decode().splitlines()
         )
         return float(values.get(name, 0))
 
+    def count_known_is(self, count):
+        """Return a condition: all entries know so many backend servers."""
+
+        async def condition():
+            known = [
+                await self._read_metric(page, "servers_known")
+                for page in self.metrics_pages
+            ]
+            return known == [count] * len(known)
+
+        return condition
+
     async def serves_both_groups(self):
         await self.ask_stream()
         return all(engine.runs for engine in self.open_heads())
--- a/tests/hosted/raw_fleet.py
+++ b/tests/hosted/raw_fleet.py
@@ -72,11 +72,15 @@
         self.silent_reports = set()
 
     async def start(self, names):
+        """Put raw servers in place of the others, known to all entries."""
         for engine in list(self.fleet.servers):
             engine.remove_record()
+        others = len(self.fleet.engines)
+        await self.fleet.wait_for(self.fleet.count_known_is(others))
         for name in names:
             await self.add(name)
-        await trio.sleep(0.5)
+        known = self.fleet.count_known_is(others + len(names))
+        await self.fleet.wait_for(known)
 
     async def add(self, name, cold_ms=0):
         server = raw_server.RawServer(self.fleet.nursery, [])
