--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -21,6 +21,7 @@
 import typing as t
 
 from sycamorespool.decisions import rendezvous
+from sycamorespool.decisions import share_leases
 
 Partition: t.TypeAlias = tuple[str, int]
 
@@ -29,9 +30,6 @@
 # A server that takes less gets a request so rarely nevertheless, as only its
 # next answer tells when its limit ends.
 MIN_PER_S = 0.1
-# The former holder of a partition learns by its next call, or by the end of
-# its lease, that it has lost it.
-HANDOVER_S = 2.6
 # What this entry has seen this lately goes before reports that end or raise a
 # limit, as these may be written late.
 SEEN_S = 2.0
@@ -110,13 +108,8 @@
         The limits that all entries know, by server id.
     usable_from_s : dict
         From when this entry may use the partitions that it holds.
-    lease_end_s : float
-        Until when they are its own, unless the store is called again.
-    grows_from_s : float
-        From when this entry's part of all partitions may be more than
-        ``former_count`` of them.
-    former_count : int
-        Partitions that it might use before.
+    share : ShareLease
+        How many these are, and until when they are its own.
     """
 
     partitions: tuple[Partition, ...]
@@ -125,9 +118,9 @@
     usable_from_s: dict[Partition, float] = dataclasses.field(
         default_factory=dict
     )
-    lease_end_s: float = -math.inf
-    grows_from_s: float = -math.inf
-    former_count: int = 0
+    share: share_leases.ShareLease = dataclasses.field(
+        default_factory=share_leases.ShareLease
+    )
     _buckets: dict[str, _Bucket] = dataclasses.field(default_factory=dict)
 
 
@@ -156,41 +149,25 @@
         Whether the store has come back from a copy since the last call.
     """
     _fill_all(state, now_s)
-    if now_s > state.lease_end_s or is_restored:
-        state.former_count = _count_usable(state, now_s)
-        state.grows_from_s = now_s + HANDOVER_S
-    known_s = state.usable_from_s if now_s <= state.lease_end_s else {}
+    known_s = state.usable_from_s if now_s <= state.share.end_s else {}
+    handed_over_s = now_s + share_leases.HANDOVER_S
     state.usable_from_s = {
-        partition: known_s.get(partition, now_s + HANDOVER_S)
-        for partition in held
+        partition: known_s.get(partition, handed_over_s) for partition in held
     }
-    state.lease_end_s = joined_s + ttl_s
+    end_s = joined_s + ttl_s
+    share_leases.renew(state.share, len(held), end_s, now_s, is_restored)
 
 
 def find_usable_share(state: ServerLimits, now_s: float) -> float:
-    """Return the part of all partitions that only this entry may use now.
-
-    Which of them it holds does not count here, only how many.  The number
-    of a member grows only by what others have given up or what their lease
-    no longer covers.  Nobody has given up what a new member gets, nor what a
-    restored store gives, which may have forgotten a member.
-    """
-    return _count_usable(state, now_s) / len(state.partitions)
-
-
-def _count_usable(state: ServerLimits, now_s: float) -> int:
-    if now_s > state.lease_end_s:
-        return 0
-    held = len(state.usable_from_s)
-    if now_s < state.grows_from_s:
-        return min(held, state.former_count)
-    return held
+    """Return the part of all partitions that only this entry may use now."""
+    usable = share_leases.count_usable(state.share, now_s)
+    return usable / len(state.partitions)
 
 
 def release(state: ServerLimits) -> None:
     """Give up all partitions."""
     state.usable_from_s = {}
-    state.lease_end_s = -math.inf
+    state.share = share_leases.ShareLease()
 
 
 def note_answer(
@@ -300,7 +277,7 @@
 def _list_usable(
     state: ServerLimits, bucket: _Bucket, now_s: float
 ) -> list[Partition]:
-    if now_s > state.lease_end_s:
+    if now_s > state.share.end_s:
         return []
     return [
         partition
@@ -317,7 +294,7 @@
 def _fill(state: ServerLimits, backend_id: str, now_s: float) -> None:
     """Add the tokens since the last time, and drop those of lost buckets."""
     bucket = state._buckets[backend_id]
-    end_s = min(now_s, state.lease_end_s)
+    end_s = min(now_s, state.share.end_s)
     filling_s = sum(
         max(0.0, end_s - max(bucket.filled_s, state.usable_from_s[partition]))
         for partition in bucket.chosen & state.usable_from_s.keys()
