Let words of what was served reach every entry that needs them

Others know other ends, or explain them otherwise, and blocked traits that had been served: now it tells of any trait that is common to two ends. - It told only when a report came. An entry that had just started knew the ends and no word: now a trait that is served later is told soon. - Its record takes the place of the one before, so that an entry that starts reads the last words only: now a record repeats what is known. - An entry out of touch with the store blocked what it had no word of, and told the others later: now it holds the trait until it has read the reports from after the time in which others can clear it. - Two requests at the same ends: the wrong one was blocked for minutes (now it is held until they differ), and the other one counted only the ends that were left, was held for a moment and sent again (now all its ends count once two accuse it alone).

The store's stand-in no longer answers a read that it was down for the end of.

--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -20,32 +20,29 @@
 is no cause.
 """
 
-import collections
-from collections import abc
 import dataclasses
 import math
 import typing as t
 
-# Ends in a row after which a trait is not sent for a moment, and after which
-# it is blocked unless some entry has served it.
-HOLD_ENDS = 2
+from sycamorespool.decisions import end_causes
+
+# Ends after which a trait is blocked, unless some entry has served it.
 BLOCK_ENDS = 3
 # Time in which other entries can tell that they have served a trait.
 CONFIRM_S = 1.5
+# Time between two checks whether their reports have come by now, or whether
+# this entry has served a trait that others may suspect.
+RECHECK_S = 0.5
 BLOCK_S = 600.0
 # How long an end counts.
 WINDOW_S = 120.0
-# A trait that was served this shortly before an end did not cause it.
-SERVED_VALID_S = 30.0
 MAX_SERVED = 16384
 MAX_ENDS = 512
+# Traits in one report of what was served.
+MAX_REPORTED = 256
 
-# What begins the identity of a request, and no id of a part.
-IDENTITY_PREFIX = "request:"
 # The ids of a prompt's parts in order, and then the request's identity.
 Traits: t.TypeAlias = tuple[str, ...]
-# The position of each trait in its request.
-_Depths: t.TypeAlias = dict[str, int]
 
 
 class ServerKey(t.NamedTuple):
@@ -78,25 +75,24 @@
     prompts: frozenset[Traits]
 
 
-@dataclasses.dataclass(slots=True)
-class _SeenEnd:
-    """Holds an end as several entries reported it."""
-
-    at_s: float
-    depths: _Depths = dataclasses.field(default_factory=dict)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Hold:
-    """Holds since when a trait is suspected, and if this suffices."""
+    """Holds since when a trait is suspected, and if this suffices.
+
+    Parameters
+    ----------
+    due_s : float
+        When it is decided whether the trait is blocked.
+    """
 
     since_s: float
     is_enough: bool
+    due_s: float
 
     @property
     def end_s(self) -> float:
         """Return when the hold ends, unless the trait is blocked by then."""
-        return self.since_s + (2 if self.is_enough else 1) * CONFIRM_S
+        return self.due_s + (CONFIRM_S if self.is_enough else 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +104,8 @@
     blocked : list of str
         Parts that it blocks, and no report tells of.
     served : list of str
-        Parts that it has served lately, and that others may suspect.
+        Parts that some entry has served lately and that others may suspect;
+        none while their reports tell all that this entry knows.
     """
 
     blocked: list[str]
@@ -135,9 +132,17 @@
         The blocked traits that some entry has reported.
     lifted_s : dict
         When the block of a trait was lifted lately.
+    heard_s : float
+        Until when the reports of the other entries are known.
+    doubted : frozenset
+        Traits that another entry may suspect, by the reports.
+    word_due_s : float
+        When to review that one of these has been served here since.
     """
 
-    ends: dict[ServerKey, _SeenEnd] = dataclasses.field(default_factory=dict)
+    ends: dict[ServerKey, end_causes.SeenEnd] = dataclasses.field(
+        default_factory=dict
+    )
     served_s: dict[str, float] = dataclasses.field(default_factory=dict)
     reported_served_s: dict[str, float] = dataclasses.field(
         default_factory=dict
@@ -146,17 +151,14 @@
     blocked_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     reported_blocks: set[str] = dataclasses.field(default_factory=set)
     lifted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    heard_s: float = math.inf
+    doubted: frozenset[str] = frozenset()
+    word_due_s: float = math.inf
 
     def find_review_due_s(self) -> float:
-        """Return when a trait is to be blocked without any further report."""
-        return min(
-            (
-                hold.since_s + CONFIRM_S
-                for hold in self.holds.values()
-                if hold.is_enough
-            ),
-            default=math.inf,
-        )
+        """Return when a review is due without any further report."""
+        dues_s = [h.due_s for h in self.holds.values() if h.is_enough]
+        return min([*dues_s, self.word_due_s])
 
     def find_block(self, traits: Traits, now_s: float) -> Block | None:
         """Return why no request with these traits is to be sent now.
@@ -188,15 +190,10 @@
         )
 
 
-def is_identity(trait: str) -> bool:
-    """Tell whether a trait is the identity of a request."""
-    return trait.startswith(IDENTITY_PREFIX)
-
-
 def note_end(state: FatalTraits, end: ServerEnd, at_s: float) -> None:
     """Record that a server ended, as this or another entry saw it."""
     key = ServerKey(end.backend_id, end.started_ms)
-    seen = state.ends.setdefault(key, _SeenEnd(at_s))
+    seen = state.ends.setdefault(key, end_causes.SeenEnd(at_s))
     for prompt in end.prompts:
         for depth, trait in enumerate(prompt):
             if at_s <= state.lifted_s.get(trait, -math.inf):
@@ -211,6 +208,8 @@
     for trait in prompt:
         state.served_s.pop(trait, None)
         state.served_s[trait] = now_s
+        if trait in state.doubted:
+            state.word_due_s = min(state.word_due_s, now_s + RECHECK_S)
     while len(state.served_s) > MAX_SERVED:
         del state.served_s[next(iter(state.served_s))]
 
@@ -252,21 +251,40 @@
 def review(state: FatalTraits, now_s: float) -> Review:
     """Hold, release and block traits by what is known now."""
     _forget_old(state, now_s)
-    ends = _count_ends(state, state.find_served_s)
+    ends = end_causes.find_causes(
+        state.ends.values(),
+        state.blocked_until_s.keys(),
+        state.find_served_s,
+    )
     for trait in state.blocked_until_s.keys() & ends.keys():
         del ends[trait]
     for trait in state.holds.keys() - ends.keys():
         del state.holds[trait]
-    for trait, count in ends.items():
-        is_enough = count >= BLOCK_ENDS
-        hold = state.holds.get(trait)
-        if hold is None or hold.is_enough != is_enough:
-            state.holds[trait] = _Hold(now_s, is_enough)
-        elif is_enough and now_s - hold.since_s >= CONFIRM_S:
-            del state.holds[trait]
-            state.blocked_until_s[trait] = now_s + BLOCK_S
+    for trait, suspicion in ends.items():
+        _suspect(state, trait, suspicion, now_s)
     unreported = state.blocked_until_s.keys() - state.reported_blocks
-    return Review(sorted(unreported), _list_disputed(state))
+    return Review(sorted(unreported), _list_words(state))
+
+
+def _suspect(
+    state: FatalTraits,
+    trait: str,
+    suspicion: end_causes.Suspicion,
+    now_s: float,
+) -> None:
+    """Hold a trait, or block it once nothing else can clear it."""
+    is_enough = suspicion.ends >= BLOCK_ENDS
+    hold = state.holds.get(trait)
+    if hold is None or hold.is_enough != is_enough:
+        state.holds[trait] = _Hold(now_s, is_enough, now_s + CONFIRM_S)
+        return
+    if not is_enough or now_s < hold.due_s:
+        return
+    if suspicion.is_alone and state.heard_s >= hold.since_s + CONFIRM_S:
+        del state.holds[trait]
+        state.blocked_until_s[trait] = now_s + BLOCK_S
+    else:
+        state.holds[trait] = dataclasses.replace(hold, due_s=now_s + RECHECK_S)
 
 
 def _forget_old(state: FatalTraits, now_s: float) -> None:
@@ -278,7 +296,7 @@
     state.reported_served_s = {
         trait: at_s
         for trait, at_s in state.reported_served_s.items()
-        if now_s - at_s <= WINDOW_S + SERVED_VALID_S
+        if now_s - at_s <= WINDOW_S + end_causes.SERVED_VALID_S
     }
     state.blocked_until_s = {
         trait: until_s
@@ -293,89 +311,35 @@
     }
 
 
-def _count_ends(
-    state: FatalTraits, find_served_s: abc.Callable[[str], float]
-) -> dict[str, int]:
-    """Return the traits that explain enough ends to be held, with these."""
-    ends_by_trait: dict[str, list[_Depths]] = collections.defaultdict(list)
-    depths: _Depths = {}
-    for end in _list_unexplained(state, find_served_s):
-        depths |= end
-        for trait in end:
-            ends_by_trait[trait].append(end)
-    counts = {trait: len(ends) for trait, ends in ends_by_trait.items()}
-
-    def rank(trait: str) -> tuple[int, bool, bool, int, str]:
-        # Among equals, one that is blocked already leaves the least to others.
-        is_blocked = trait in state.blocked_until_s
-        is_special = is_identity(trait)
-        return counts[trait], is_blocked, is_special, depths[trait], trait
-
-    found: dict[str, int] = {}
-    while counts:
-        trait = max(counts, key=rank)
-        if counts[trait] < HOLD_ENDS:
-            break
-        found[trait] = counts[trait]
-        _remove_ends(ends_by_trait[trait], counts)
-    return found
-
-
-def _list_unexplained(
-    state: FatalTraits, find_served_s: abc.Callable[[str], float]
-) -> list[_Depths]:
-    """Return the suspected traits of each end that no block explains.
-
-    An end that a blocked identity explains still accuses other identities:
-    of two requests that were at the same servers, the wrong one may be
-    blocked, and the next end of the other one has to tell.
-    """
-    unexplained = []
-    for seen in state.ends.values():
-        blocked = state.blocked_until_s.keys() & seen.depths.keys()
-        suspects = _select_unserved(seen, find_served_s)
-        if blocked:
-            suspects = {p: d for p, d in suspects.items() if is_identity(p)}
-        if all(is_identity(trait) for trait in blocked):
-            unexplained.append(suspects)
-    return unexplained
-
-
-def _remove_ends(ends: list[_Depths], counts: dict[str, int]) -> None:
-    """Let ends that a trait explains count for no other trait."""
-    for end in ends:
-        for trait in end:
-            counts[trait] -= 1
-        end.clear()
-
-
-def _select_unserved(
-    seen: _SeenEnd, find_served_s: abc.Callable[[str], float]
-) -> _Depths:
-    """Return the traits that may have caused an end, with their depths."""
-    return {
-        trait: depth
-        for trait, depth in seen.depths.items()
-        if find_served_s(trait) < seen.at_s - SERVED_VALID_S
-    }
+def _list_words(state: FatalTraits) -> list[str]:
+    """Return the served traits to report, none if others know it all.
 
-
-def _list_disputed(state: FatalTraits) -> list[str]:
-    """Return the traits that others suspect for lack of this entry's word."""
+    Others may not know the same ends, nor explain them in the same way.  So
+    any trait that is common to enough ends may be suspected.
+    """
 
     def find_reported_s(trait: str) -> float:
         return state.reported_served_s.get(trait, -math.inf)
 
-    return [
-        trait
-        for trait in _count_ends(state, find_reported_s)
-        if _has_served(state, trait)
+    ends = state.ends.values()
+    state.doubted = frozenset(end_causes.count_unserved(ends, find_reported_s))
+    state.word_due_s = math.inf
+    if not any(_has_served(state, trait) for trait in state.doubted):
+        return []
+    # A report replaces the one before, which an entry that starts later
+    # does not see.
+    suspects = end_causes.count_unserved(ends, lambda _: -math.inf)
+    doubted = end_causes.count_unserved(ends, state.find_served_s)
+    words = suspects.keys() - doubted.keys()
+    return sorted(words, key=lambda trait: (-suspects[trait], trait))[
+        :MAX_REPORTED
     ]
 
 
 def _has_served(state: FatalTraits, trait: str) -> bool:
     served_s = state.served_s.get(trait, -math.inf)
     return any(
-        trait in seen.depths and served_s >= seen.at_s - SERVED_VALID_S
+        trait in seen.depths
+        and served_s >= seen.at_s - end_causes.SERVED_VALID_S
         for seen in state.ends.values()
     )
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -13,7 +13,7 @@
 
 from sycamorespool import asgi
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions import end_causes
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
@@ -78,7 +78,7 @@
         raise attempt_results.final_error(call, tries, now_s)
     code, subject = (
         ("request_blocked", "this request")
-        if fatal_traits.is_identity(block.trait)
+        if end_causes.is_identity(block.trait)
         else ("prompt_blocked", "a part of this prompt")
     )
     raise exceptions.NotRun(
--- a/src/sycamorespool/requests/request_identity.py
+++ b/src/sycamorespool/requests/request_identity.py
@@ -10,7 +10,7 @@
 
 import hmac
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions import end_causes
 from sycamorespool.requests import caller_request
 
 DIGEST_BYTES = 8
@@ -21,4 +21,4 @@
     target = request.target.encode()
     message = len(target).to_bytes(4, "big") + target + request.body
     digest = hmac.digest(request.key.encode(), message, "sha256")
-    return fatal_traits.IDENTITY_PREFIX + digest[:DIGEST_BYTES].hex()
+    return end_causes.IDENTITY_PREFIX + digest[:DIGEST_BYTES].hex()
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/server_ends.py
@@ -12,6 +12,7 @@
 """
 
 from collections import abc
+import math
 import time
 import typing as t
 
@@ -96,6 +97,7 @@
         self._noted = trio.Event()
         self._report_due_s: float | None = None
         self._blocked: set[str] = set()
+        self._state.heard_s = -math.inf
 
     async def collect_ends(self, nursery: trio.Nursery) -> t.NoReturn:
         """Check servers that closed connections, until cancelled."""
@@ -135,14 +137,21 @@
     async def review(self) -> t.NoReturn:
         """Review the parts when something was noted, until cancelled."""
         while True:
-            due_s = self._state.find_review_due_s()
-            if self._report_due_s is not None:
-                due_s = min(due_s, self._report_due_s)
-            with trio.move_on_at(due_s):
-                await self._noted.wait()
-            self._noted = trio.Event()
-            self._review_now(trio.current_time())
-            await trio.sleep(REVIEW_PERIOD_S)
+            # A request that is served meanwhile may let a review be due.
+            with trio.move_on_after(fatal_traits.RECHECK_S):
+                with trio.move_on_at(self._find_due_s()):
+                    await self._noted.wait()
+            now_s = trio.current_time()
+            if self._noted.is_set() or now_s >= self._find_due_s():
+                self._noted = trio.Event()
+                self._review_now(now_s)
+                await trio.sleep(REVIEW_PERIOD_S)
+
+    def _find_due_s(self) -> float:
+        due_s = self._state.find_review_due_s()
+        if self._report_due_s is None:
+            return due_s
+        return min(due_s, self._report_due_s)
 
     def _review_now(self, now_s: float) -> None:
         held_before = set(self._state.holds)
@@ -180,7 +189,7 @@
             self.appender.add(record)
             fatal_traits.note_block(self._state, part, until_s)
         if found.served:
-            served_s = {p: self._state.served_s[p] for p in found.served}
+            served_s = {p: self._state.find_served_s(p) for p in found.served}
             self.appender.add(
                 end_reports.encode_served(self._context.name, served_s, clocks)
             )
@@ -207,14 +216,16 @@
         self, cause: topic_follower.ReadCause
     ) -> pages.Position:
         """Read and apply the newest reports of all entries."""
+        began_s = trio.current_time()
         store = self._context.platform_store
         newest = await store.read_newest(wire.SERVER_ENDS_TOPIC)
         self._apply(newest.records)
+        self._state.heard_s = began_s
         return newest.end
 
     async def read_on(self, position: pages.Position) -> pages.Position:
         """Read and apply the reports from a position on."""
-        page, _ = await peer_reads.read(
+        page, as_of_s = await peer_reads.read(
             self._context,
             wire.SERVER_ENDS_TOPIC,
             position,
@@ -222,6 +233,8 @@
             WAIT_S + peer_reads.MAX_READ_AGE_S,
         )
         self._apply(pages.decode_keyed(page))
+        age_s = entry_context.boot_time_s() - as_of_s
+        self._state.heard_s = trio.current_time() - age_s
         return page.next
 
 
--- a/src/sycamorespool/standins/hosted_store.py
+++ b/src/sycamorespool/standins/hosted_store.py
@@ -191,6 +191,8 @@
         with trio.move_on_after(wait_s):
             while start >= len(topic.records):
                 await topic.appended.wait()
+        if self.is_down:
+            return asgi.Response(503)
         # The store may have been restored while the read waited.
         found = topic.records[start:]
         body = OFFSET_BOUNDS.pack(len(topic.records), topic.first)
--- a/tests/decisions/fatal_request_world.py
+++ b/tests/decisions/fatal_request_world.py
@@ -116,6 +116,7 @@
         self._starts = [0] * entries
         self._away = set()
         self._out_of_touch_until_s = {}
+        self._touched_s = {}
         self._records = {}
         self._reported_ends = collections.Counter()
         self._common = [self._make_request() for _ in range(COMMON)]
@@ -154,6 +155,7 @@
 
     def lose_touch(self, entry, span_s):
         """Let an entry neither send nor get reports for some time."""
+        self._touched_s[entry] = self._now_s
         self._out_of_touch_until_s[entry] = self._now_s + span_s
 
     def restart_entries(self, entries):
@@ -305,6 +307,10 @@
         until_s = self._out_of_touch_until_s.get(entry, -math.inf)
         return until_s - self._now_s
 
+    def _find_heard_s(self, entry):
+        is_out = self._is_out_of_touch(entry)
+        return self._touched_s[entry] if is_out else self._now_s
+
     def _publish(self, entry, note, args):
         if entry in self._away:
             return
--- a/tests/decisions/fatal_trait_world.py
+++ b/tests/decisions/fatal_trait_world.py
@@ -211,6 +211,7 @@
         if entry not in self._unreviewed and not is_due:
             return
         self._unreviewed.discard(entry)
+        state.heard_s = self._find_heard_s(entry)
         found = fatal_traits.review(state, self._now_s)
         has_news = found.blocked or found.served
         if has_news and entry not in self._telling:
@@ -218,15 +219,20 @@
             delay_s = self._random.uniform(0.0, SPREAD_S)
             self._at(delay_s, self._tell, entry)
 
+    def _find_heard_s(self, entry):
+        """Return until when an entry knows the reports of the others."""
+        return self._now_s
+
     def _tell(self, entry):
         self._telling.discard(entry)
         state = self._states[entry]
+        state.heard_s = self._find_heard_s(entry)
         found = fatal_traits.review(state, self._now_s)
         for part in found.blocked:
             until_s = state.blocked_until_s[part]
             self._report(entry, fatal_traits.note_block, part, until_s)
         if found.served:
-            served = [(part, state.served_s[part]) for part in found.served]
+            served = [(p, state.find_served_s(p)) for p in found.served]
             self._report(entry, note_all_served, served)
 
 
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -101,8 +101,70 @@
         fatal_traits.review(state, later_s)
         assert state.find_block_end_s((FATAL,), later_s) is None
 
+    # Of two fatal and sound requests at the same ends, either may be chosen.
+    def test_one_of_two_requests_at_the_same_ends_is_held_not_blocked(self):
+        state = fatal_traits.FatalTraits()
+        both = [("request:1",), ("request:2",)]
+        for number in range(3):
+            fatal_traits.note_end(state, end(number, *both), 1.0)
+        for now_s in (1.0, 2.5, 4.0, 5.5):
+            fatal_traits.review(state, now_s)
+        assert list_held(state, ("request:1", "request:2"), 5.6) == [
+            "request:2"
+        ]
+        assert not state.blocked_until_s
+        fatal_traits.note_end(state, end(9, ("request:1",)), 6.0)
+        for now_s in (6.0, 7.5):
+            fatal_traits.review(state, now_s)
+        assert set(state.blocked_until_s) == {"request:1"}
+
+
+class TestWords:
+    """Tests of what entries tell each other of served traits."""
+
+    # The entry that knows more ends explains them by another trait.
+    def test_trait_is_told_that_an_entry_with_fewer_ends_may_suspect(self):
+        state = fatal_traits.FatalTraits()
+        fatal_traits.note_served(state, ("aa", "7"), 1.0)
+        prompts = [("aa", FATAL), ("aa", FATAL), ("cc", FATAL)]
+        note_ends(state, *prompts, at_s=2.0)
+        assert fatal_traits.review(state, 2.0).served == ["aa"]
+
+    # A report takes the place of the one before.
+    def test_report_repeats_what_other_reports_told(self):
+        state = fatal_traits.FatalTraits()
+        fatal_traits.note_reported_served(state, "aa", 1.0)
+        note_ends(state, ("aa", "bb"), ("aa", "bb"), at_s=2.0)
+        assert fatal_traits.review(state, 2.0).served == []
+        fatal_traits.note_served(state, ("bb",), 3.0)
+        assert sorted(fatal_traits.review(state, 3.5).served) == ["aa", "bb"]
+
+    # Nothing was reported any more when an entry had started that knew the
+    # ends and no words.
+    def test_trait_that_is_served_after_the_ends_is_told_soon(self):
+        state = fatal_traits.FatalTraits()
+        note_ends(state, ("aa", "1"), ("aa", "2"))
+        fatal_traits.review(state, 1.0)
+        assert state.find_review_due_s() == float("inf")
+        fatal_traits.note_served(state, ("aa",), 20.0)
+        due_s = state.find_review_due_s()
+        assert due_s == 20.0 + fatal_traits.RECHECK_S
+        assert fatal_traits.review(state, due_s).served == ["aa"]
+        assert state.find_review_due_s() == float("inf")
+
 
 class TestBlocks:
+    # An entry out of touch with the store blocked sound parts, as it had no
+    # word of them, and told the others so later.
+    def test_nothing_is_blocked_but_held_before_others_could_clear_it(self):
+        state = fatal_traits.FatalTraits(heard_s=2.4)
+        note_ends(state, ("aa", "1"), ("aa", "2"), ("aa", "3"))
+        for now_s in (1.0, 2.5, 4.0, 5.5, 7.0):
+            assert fatal_traits.review(state, now_s).blocked == []
+            assert list_held(state, ("aa",), now_s) == ["aa"]
+        state.heard_s = 7.5
+        assert fatal_traits.review(state, 8.5).blocked == ["aa"]
+
     def test_block_of_another_entry_counts_and_ends(self):
         state = fatal_traits.FatalTraits()
         fatal_traits.note_block(state, FATAL, 50.0)
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -6,6 +6,8 @@
 import pytest
 import trio
 
+from sycamorespool.decisions import fatal_traits
+from sycamorespool import server_ends
 from tests.hosted import fleet as fleets
 
 TOPIC = "keyed.server-ends"
@@ -91,6 +93,28 @@
 
         run_hosted(scenario)
 
+    # Without reports of the others it could not know what they had served.
+    def test_entry_without_the_store_blocks_nothing_but_holds_it(
+        self, run_hosted
+    ):
+        async def scenario(fleet):
+            for number in range(3):
+                end = make_end(number, ["aa", FATAL, f"{number}"])
+                fleet.store.put(TOPIC, f"end/e{number}/1", end)
+            await trio.sleep(server_ends.PERIOD_S + 0.1)
+            fleet.store.is_down = True
+            await trio.sleep(2 * fatal_traits.CONFIRM_S)
+            assert await fleet.read_metric("parts_blocked") == 0
+            assert (await fleet.ask_prompt("cc", FATAL, "9")).status == 503
+            fleet.store.is_down = False
+
+            async def is_blocked():
+                return await fleet.read_metric("parts_blocked") == 1
+
+            await fleet.wait_for(is_blocked)
+
+        run_hosted(scenario)
+
     def test_refusal_is_true_and_says_when_to_come_back(self, run_hosted):
         async def scenario(fleet):
             until_ms = round((time.time() + 90.0) * 1000)
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions import end_causes
 from sycamorespool.requests import caller_request
 from sycamorespool.requests import request_identity
 
@@ -58,12 +58,12 @@
 
     def test_identity_is_no_part_of_a_prompt_and_shows_nothing(self):
         identity = identify()
-        assert fatal_traits.is_identity(identity)
-        assert not fatal_traits.is_identity("aa")
+        assert end_causes.is_identity(identity)
+        assert not end_causes.is_identity("aa")
         for held in ("caller-key", "charge", "orders"):
             assert held not in identity
 
     @pytest.mark.parametrize("body", [b"", bytes(256), b"x" * 100_000])
     def test_any_body_and_target_has_an_identity(self, body):
         identity = identify(body=body, target="/\xe9", key="\xe9")
-        assert fatal_traits.is_identity(identity)
+        assert end_causes.is_identity(identity)
