Keep the limit of a server whose registry entry expires

When the entry came back (the same process, that lives on), it got requests without a limit until one of its answers had named it again.

Now the limit is kept for 60 s, as long as the registry remembers a server that was removed. A new process of the server has no limit, as before.

--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -33,6 +33,8 @@
 # What this entry has seen this lately goes before reports that end or raise a
 # limit, as these may be written late.
 SEEN_S = 2.0
+# How long the limit of a server that is not in the registry is kept.
+GONE_KEEP_S = 60.0
 # A limit that differs less from what all entries know is not reported again.
 REPORTED_RATIO = 1.1
 
@@ -108,6 +110,8 @@
         The limits that all entries know, by server id.
     usable_from_s : dict
         From when this entry may use the partitions that it holds.
+    gone_s : dict
+        Since when a limited server is not in the registry.
     share : ShareLease
         How many these are, and until when they are its own.
     """
@@ -118,6 +122,7 @@
     usable_from_s: dict[Partition, float] = dataclasses.field(
         default_factory=dict
     )
+    gone_s: dict[str, float] = dataclasses.field(default_factory=dict)
     share: share_leases.ShareLease = dataclasses.field(
         default_factory=share_leases.ShareLease
     )
@@ -345,10 +350,21 @@
         state._buckets[backend_id].tokens -= 1.0
 
 
-def forget(state: ServerLimits, backend_id: str) -> None:
-    """Drop the limit of a server that left the registry."""
-    state.limits.pop(backend_id, None)
-    state._buckets.pop(backend_id, None)
+def forget_gone(
+    state: ServerLimits, known: abc.Container[str], now_s: float
+) -> None:
+    """Drop the limits of servers that left the registry for good.
+
+    The registry entry of a live server may expire and come back.
+    """
+    gone = [
+        backend_id for backend_id in state.limits if backend_id not in known
+    ]
+    state.gone_s = {i: state.gone_s.get(i, now_s) for i in gone}
+    for backend_id, at_s in list(state.gone_s.items()):
+        if now_s - at_s >= GONE_KEEP_S:
+            state.limits.pop(backend_id, None)
+            state._buckets.pop(backend_id, None)
 
 
 def list_unreported(state: ServerLimits) -> dict[str, Limit | None]:
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -327,7 +327,6 @@
         for backend_id in backend_ids:
             placement.forget(self.placement_state, backend_id, now_s)
             cold_limits.forget(self.cold, backend_id)
-            server_limits.forget(self.limits, backend_id)
             reachability.forget(self.reach, backend_id)
             self.breakers.pop(backend_id, None)
 
--- a/src/sycamorespool/limit_reports.py
+++ b/src/sycamorespool/limit_reports.py
@@ -83,6 +83,11 @@
         spread_s = SPREAD_PER_ENTRY_S * entries
         delay_s = LEAST_DELAY_S + context.random.uniform(0.0, spread_s)
         await trio.sleep(delay_s)
+        server_limits.forget_gone(
+            context.limits,
+            context.registry.servers,
+            entry_context.boot_time_s(),
+        )
         found = server_limits.list_unreported(context.limits)
         for backend_id, limit in found.items():
             append(encode(backend_id, limit))
