Tell callers when limited servers take more, also without a part of it

It now estimates the time by what all entries together may send: 1 / the sum of the limits for each call that waits here and this one.

TestEstimate fails before (the function is new; the code before returned 0 there, and so the least Retry-After of 1 s).

--- a/src/sycamorespool/decisions/limited_turns.py
+++ b/src/sycamorespool/decisions/limited_turns.py
@@ -88,6 +88,28 @@
     return turn
 
 
+def estimate_turn_s(
+    first_s: float, waiting: int, own_per_s: float, fleet_per_s: float
+) -> float:
+    """Return after which time one more call is likely to be taken.
+
+    An entry without a part of the servers' limits knows only how often all
+    entries together may send.
+
+    Parameters
+    ----------
+    first_s : float
+        Time until this entry may send the next request.
+    waiting : int
+        Calls that wait here.
+    own_per_s, fleet_per_s : float
+        Requests a second that this entry, and all, may send.
+    """
+    if own_per_s:
+        return first_s + waiting / own_per_s
+    return (1 + waiting) / fleet_per_s
+
+
 def count_waiting(turns: Turns, key: QueueKey) -> int:
     """Return how many calls wait for the same servers."""
     queue = turns.queues.get(key)
--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -357,9 +357,7 @@
 
     The registry entry of a live server may expire and come back.
     """
-    gone = [
-        backend_id for backend_id in state.limits if backend_id not in known
-    ]
+    gone = [i for i in state.limits if i not in known]
     state.gone_s = {i: state.gone_s.get(i, now_s) for i in gone}
     for backend_id, at_s in list(state.gone_s.items()):
         if now_s - at_s >= GONE_KEEP_S:
--- a/src/sycamorespool/requests/limited_calls.py
+++ b/src/sycamorespool/requests/limited_calls.py
@@ -11,7 +11,6 @@
 """
 
 from collections import abc
-import math
 
 import trio
 
@@ -24,6 +23,7 @@
 from sycamorespool.requests import calls
 
 CHECK_PERIOD_S = 0.05
+LEAST_PER_S = server_limits.MIN_PER_S
 
 
 class LimitedCall:
@@ -123,16 +123,12 @@
     ) -> float:
         """Return after which time these servers take one more request."""
         now_s = entry_context.boot_time_s()
-        first_s = min(map(self._context.find_limit_wait_s, eligible))
-        per_s = sum(
-            server_limits.find_rate_per_s(
-                self._context.limits, backend.backend_id, now_s
-            )
-            for backend in eligible
-        )
-        waiting = limited_turns.count_waiting(self._context.turns, self._key)
-        wait_s = first_s + waiting / per_s if per_s else 0.0
-        return shares.retry_after_s(
-            wait_s if math.isfinite(wait_s) else 0.0,
-            self._context.random.random(),
+        limits = self._context.limits
+        ids = [backend.backend_id for backend in eligible]
+        wait_s = limited_turns.estimate_turn_s(
+            min(map(self._context.find_limit_wait_s, eligible)),
+            limited_turns.count_waiting(self._context.turns, self._key),
+            sum(server_limits.find_rate_per_s(limits, i, now_s) for i in ids),
+            sum(max(LEAST_PER_S, limits.limits[i].per_s) for i in ids),
         )
+        return shares.retry_after_s(wait_s, self._context.random.random())
--- a/tests/decisions/test_limited_turns.py
+++ b/tests/decisions/test_limited_turns.py
@@ -1,6 +1,9 @@
 """Tests of how what limited servers take is divided among calls."""
 
 import collections
+import math
+
+import pytest
 
 from sycamorespool.decisions import limited_turns
 
@@ -79,3 +82,16 @@
         other = join(turns, "b", 2)
         assert not limited_turns.may_take(turns, KEY, first)
         assert limited_turns.may_take(turns, KEY, other)
+
+
+class TestEstimate:
+    def test_calls_that_wait_here_come_first(self):
+        assert limited_turns.estimate_turn_s(0.5, 3, 2.0, 10.0) == 2.0
+
+    # It said 1 s, whatever the limits.
+    @pytest.mark.parametrize(("waiting", "turn_s"), [(0, 2.0), (2, 6.0)])
+    def test_entry_without_a_part_goes_by_what_all_may_send(
+        self, waiting, turn_s
+    ):
+        found_s = limited_turns.estimate_turn_s(math.inf, waiting, 0.0, 0.5)
+        assert found_s == turn_s
