Pass a call on to an entry of the call's regions first

Entries of the call's regions now go first, and among these those of the own region. The new test fails before.

--- a/src/sycamorespool/decisions/peer_choice.py
+++ b/src/sycamorespool/decisions/peer_choice.py
@@ -40,7 +40,10 @@
     request: PeerRequest,
     fraction: float,
 ) -> str | None:
-    """Return the name of an entry, one of the own region if possible.
+    """Return the name of an entry, None if there is none.
+
+    It is one of the regions that may handle the call if possible, and of
+    these one of the own region.
 
     Parameters
     ----------
@@ -62,5 +65,6 @@
         for name, region in regions.items()
         if request.regions is None or region in request.regions
     ]
-    names = near or allowed
+    both = [name for name in near if name in allowed]
+    names = both or allowed or near
     return names[int(fraction * len(names))] if names else None
--- a/tests/decisions/test_peer_choice.py
+++ b/tests/decisions/test_peer_choice.py
@@ -43,5 +43,13 @@
         assert choose(excluded=near, regions=["east"]) is None
         assert choose(excluded=near, regions=[]) is None
 
+    # An entry of the own region went before those of the call's regions.
+    def test_regions_of_the_call_go_before_the_own_one(self):
+        for fraction in (0.0, 0.5, 0.99):
+            assert choose(fraction, regions=["west"]).startswith("e-c")
+            assert choose(fraction, regions=["east", "west"])[2] in "ab"
+        far = [name for name in ENTRIES if name[2] == "c"]
+        assert choose(excluded=far, regions=["west"])[2] in "ab"
+
     def test_no_entry_is_chosen_if_there_is_no_other(self):
         assert choose(entries={"e-a0": ENTRIES["e-a0"]}) is None
