--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -38,9 +38,9 @@
 from sycamorespool import node_settings
 from sycamorespool.platform import headers
 from sycamorespool.platform import store
-from sycamorespool import record_cache
 from sycamorespool.requests import cut_requests
 from sycamorespool import routing_table
+from sycamorespool.store import record_cache
 
 # A configuration is trusted for this fraction of ``bounds.revoke_ms``, the
 # time within which a revoked API key may still be accepted.
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -11,9 +11,7 @@
 
 from sycamorespool import asgi
 from sycamorespool.callers import server
-from sycamorespool import config_follower
 from sycamorespool import domain_owner
-from sycamorespool import entry_announcements
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
@@ -25,10 +23,12 @@
 from sycamorespool.peers import peer_reads
 from sycamorespool.peers import reach_watch
 from sycamorespool.platform import headers
-from sycamorespool import registry_follower
 from sycamorespool.requests import hosted_callers
-from sycamorespool import server_ends
 from sycamorespool import stall_detection
+from sycamorespool.store import config_follower
+from sycamorespool.store import entry_announcements
+from sycamorespool.store import registry_follower
+from sycamorespool.store import server_ends
 
 # The load balancer probes an entry once a second and removes it after two
 # failed probes.
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -17,7 +17,7 @@
 from sycamorespool import exceptions
 from sycamorespool import logs
 from sycamorespool.platform import store
-from sycamorespool import topic_follower
+from sycamorespool.store import topic_follower
 
 # Time between two joins of a member that owns fabric domains or whose
 # partitions have just changed, and of any other.  When the latter stops, only
--- a/src/sycamorespool/requests/cut_requests.py
+++ b/src/sycamorespool/requests/cut_requests.py
@@ -1,6 +1,7 @@
 """Collects the requests whose connections backend servers closed too early.
 
-:mod:`sycamorespool.server_ends` finds out which of the servers have ended.
+:mod:`sycamorespool.store.server_ends` finds out which of the servers have
+ended.
 """
 
 import dataclasses
--- a/src/sycamorespool/config_follower.py
+++ b/src/sycamorespool/store/config_follower.py
@@ -19,7 +19,7 @@
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
-from sycamorespool import topic_follower
+from sycamorespool.store import topic_follower
 
 # How long the store waits for a record.
 WAIT_S = 0.8
--- a/src/sycamorespool/entry_announcements.py
+++ b/src/sycamorespool/store/entry_announcements.py
@@ -14,7 +14,7 @@
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool import sockets
-from sycamorespool import topic_follower
+from sycamorespool.store import topic_follower
 
 # How long the store waits for a record.
 WAIT_S = 20.0
--- a/src/sycamorespool/limit_reports.py
+++ b/src/sycamorespool/store/limit_reports.py
@@ -3,8 +3,8 @@
 An entry of a large fleet seldom sends a request to a given server, so it
 would learn of a limit late, or not at all while it has no part of it.  The
 entries report what they see in the topic of
-:mod:`sycamorespool.server_ends`; the record ``limit/SERVER`` holds the limit
-of a server, and is deleted when the limit ends.
+:mod:`sycamorespool.store.server_ends`; the record ``limit/SERVER`` holds the
+limit of a server, and is deleted when the limit ends.
 """
 
 from collections import abc
--- a/src/sycamorespool/registry_follower.py
+++ b/src/sycamorespool/store/registry_follower.py
@@ -12,7 +12,7 @@
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
-from sycamorespool import topic_follower
+from sycamorespool.store import topic_follower
 
 PERIOD_S = 0.5
 RETRY_S = 0.8
--- a/src/sycamorespool/server_ends.py
+++ b/src/sycamorespool/store/server_ends.py
@@ -20,17 +20,17 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import fatal_traits
-from sycamorespool import end_reports
 from sycamorespool import entry_context
 from sycamorespool import exceptions
-from sycamorespool import limit_reports
 from sycamorespool import logs
 from sycamorespool.peers import peer_probes
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool.requests import attempts
-from sycamorespool import topic_follower
+from sycamorespool.store import end_reports
+from sycamorespool.store import limit_reports
+from sycamorespool.store import topic_follower
 
 # How long the store waits for a report.
 WAIT_S = 2.0
--- a/tests/hosted/test_restore.py
+++ b/tests/hosted/test_restore.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 
-from sycamorespool import config_follower
-from sycamorespool import entry_announcements
+from sycamorespool.store import config_follower
+from sycamorespool.store import entry_announcements
 from tests.hosted import fleet as fleets
 
 # Calls refused by a store that is down, so that each reader had one.
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -7,7 +7,7 @@
 import trio
 
 from sycamorespool.decisions import fatal_traits
-from sycamorespool import server_ends
+from sycamorespool.store import server_ends
 from tests.hosted import fleet as fleets
 
 TOPIC = "keyed.server-ends"
--- a/tests/test_entry_announcements.py
+++ b/tests/test_entry_announcements.py
@@ -6,9 +6,9 @@
 import trio.testing
 
 from sycamorespool.decisions import store_readers
-from sycamorespool import entry_announcements
 from sycamorespool import exceptions
 from sycamorespool.platform import pages
+from sycamorespool.store import entry_announcements
 
 OWN = "e-1"
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -30,7 +30,7 @@
     {"backend_servers", "callers", "entries", "operators", "platform"}
 )
 # One job each, for which several modules work together.
-JOB_PACKAGES = frozenset({"keys", "peers", "requests"})
+JOB_PACKAGES = frozenset({"keys", "peers", "requests", "store"})
 SUBPACKAGES = ADAPTER_PACKAGES | JOB_PACKAGES | {"decisions", "standins"}
 PURE_LIBRARIES = frozenset(
     [
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -21,18 +21,18 @@
 from sycamorespool.decisions import server_limits
 from sycamorespool.decisions import store_readers
 from sycamorespool import decoding
-from sycamorespool import end_reports
-from sycamorespool import entry_announcements
 from sycamorespool import exceptions
 from sycamorespool import hosted
 from sycamorespool import http_client
-from sycamorespool import limit_reports
 from sycamorespool import metrics
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import headers
 from sycamorespool.platform import pages
 from sycamorespool.platform import store
 from sycamorespool.platform import wire
+from sycamorespool.store import end_reports
+from sycamorespool.store import entry_announcements
+from sycamorespool.store import limit_reports
 from tests.hosted import fleet
 from tests import odd_values
 
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -7,7 +7,7 @@
 from sycamorespool import entry_context
 from sycamorespool.peers import peer_reads
 from sycamorespool.platform import pages
-from sycamorespool import record_cache
+from sycamorespool.store import record_cache
 
 WAIT_S = 0.8
 
--- a/tests/test_record_cache.py
+++ b/tests/test_record_cache.py
@@ -1,7 +1,7 @@
 import pytest
 
 from sycamorespool.platform import pages
-from sycamorespool import record_cache
+from sycamorespool.store import record_cache
 
 
 def make_cache():
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -5,7 +5,7 @@
 
 from sycamorespool import exceptions
 from sycamorespool.platform import pages
-from sycamorespool import topic_follower
+from sycamorespool.store import topic_follower
 
 PERIOD_S, RETRY_S = 1.0, 0.25
 START = pages.Position(1, 0)
