Pass on all lines of a header that comes twice

What callers saw: of a header with several lines only the last reached the other side: the last Set-Cookie of an answer, the last Via of a request.

Cause: headers were decoded into one text a name. Those that are sent on now keep all their lines.

The test in hosted/test_path.py fails before (one of two cookies). Fakes of answers get the new field.

--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -142,12 +142,9 @@
     content_type: str, headers: dict[str, str]
 ) -> list[tuple[bytes, bytes]]:
     """Return the headers as the pairs of bytes that ASGI expects."""
-    pairs = [(b"content-type", content_type.encode())]
-    pairs += [
-        (name.lower().encode(), http_client.encode_header(value))
-        for name, value in headers.items()
-    ]
-    return pairs
+    return http_client.encode_headers(
+        {"content-type": content_type, **headers}
+    )
 
 
 async def send_response(send: Send, response: Response) -> None:
--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -97,7 +97,9 @@
     status : int
         HTTP status, 0 before the head was read.
     headers : dict
-        Headers by lower-case name.
+        Headers by lower-case name; the last of those that come twice.
+    joined_headers : dict
+        The same with all of these, as ``http_client.join_headers`` does.
     is_whole : bool
         Whether the body was read to its end.
     is_waiting : bool
@@ -113,6 +115,7 @@
     ) -> None:
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.joined_headers: dict[str, str] = {}
         self.is_whole = False
         self.is_waiting = False
         self._http_connection = http_connection
@@ -159,10 +162,9 @@
         while not isinstance(event, h11.Response):
             event = await self._next_event()
         self.status = event.status_code
-        self.headers = {
-            name.decode("latin-1"): value.decode("latin-1")
-            for name, value in event.headers
-        }
+        pairs = list(event.headers)
+        self.headers = http_client.decode_headers(pairs)
+        self.joined_headers = http_client.join_headers(pairs)
 
     def _renew_deadline(self) -> None:
         # Moving the deadline costs more than reading the clock, so it is
@@ -224,10 +226,7 @@
     request = h11.Request(
         method=outgoing.method,
         target=outgoing.path,
-        headers=[
-            (name, http_client.encode_header(value))
-            for name, value in headers.items()
-        ],
+        headers=http_client.encode_headers(headers),
     )
     parts = [http.send(request)]
     if outgoing.body:
--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -76,7 +76,31 @@
     }
 
 
-def encode_header(value: str) -> bytes:
+def join_headers(pairs: abc.Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return the headers as text, to be sent on as they are.
+
+    The values of one that comes several times are lines of one text.
+    """
+    joined: dict[str, str] = {}
+    for name_bytes, value_bytes in pairs:
+        name = name_bytes.decode("latin-1").lower()
+        value = value_bytes.decode("latin-1")
+        joined[name] = f"{joined[name]}\n{value}" if name in joined else value
+    return joined
+
+
+def encode_headers(
+    headers: abc.Mapping[str, str],
+) -> list[tuple[bytes, bytes]]:
+    """Return the lines of headers that may have several each."""
+    return [
+        (name.lower().encode(), _encode_value(line))
+        for name, value in headers.items()
+        for line in value.split("\n")
+    ]
+
+
+def _encode_value(value: str) -> bytes:
     """Return a header's value as the bytes from which it was decoded.
 
     A value that was not decoded from a header may have other characters.
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -7,6 +7,7 @@
 
 from sycamorespool import backends
 from sycamorespool import decoding
+from sycamorespool import http_client
 from sycamorespool.requests import caller_request
 
 ATTEMPT = "sycamorespool-attempt-id"
@@ -65,6 +66,29 @@
         "upgrade",
     ]
 )
+# Headers of which only the last line counts, here as at who gets it.
+_SINGLE = frozenset(
+    [
+        "authorization",
+        "content-type",
+        "host",
+        ATTEMPT,
+        DEADLINE,
+        EXPECT_SERVER,
+        LEAVING,
+        LIMIT,
+        MODEL,
+        NOT_RUN,
+        PRIORITY,
+        PROMPT_PARTS,
+        RESUME_AFTER,
+        RETRY_AFTER,
+        SERVED_BY,
+        SERVER_ID,
+        SIGNATURE,
+        WORKSPACE,
+    ]
+)
 _NOT_RETURNED = _CONNECTION_HEADERS | {"content-type", SERVED_BY}
 _NOT_PASSED_ON = _CONNECTION_HEADERS | {
     "authorization",
@@ -123,10 +147,8 @@
     body: bytes,
 ) -> caller_request.CallerRequest:
     """Decode a caller's request."""
-    headers = {
-        name.decode("latin-1"): value.decode("latin-1")
-        for name, value in pairs
-    }
+    pairs = list(pairs)
+    headers = http_client.decode_headers(pairs)
     return caller_request.CallerRequest(
         attempt_id=headers.get(ATTEMPT, ""),
         method=method,
@@ -138,11 +160,7 @@
         deadline_s=_read_deadline_s(headers.get(DEADLINE, "")),
         resume_after=headers.get(RESUME_AFTER, ""),
         prompt_parts=_read_parts(headers.get(PROMPT_PARTS, "")),
-        headers={
-            name: value
-            for name, value in headers.items()
-            if name not in _NOT_PASSED_ON
-        },
+        headers=_select(http_client.join_headers(pairs), _NOT_PASSED_ON),
         body=body,
     )
 
@@ -222,19 +240,22 @@
 
 def select_answer_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
     """Return those of an answer's headers that the caller gets."""
-    return {
-        name: value
-        for name, value in headers.items()
-        if name not in _NOT_RETURNED
-    }
+    return _select(headers, _NOT_RETURNED)
 
 
 def select_peer_headers(headers: abc.Mapping[str, str]) -> dict[str, str]:
     """Return those of an answer's headers that another entry gets."""
+    return _select(headers, _NOT_RETURNED - {SERVED_BY})
+
+
+def _select(
+    headers: abc.Mapping[str, str], excluded: frozenset[str]
+) -> dict[str, str]:
+    """Return joined headers without some, and one line of single ones."""
     return {
-        name: value
+        name: value.rpartition("\n")[2] if name in _SINGLE else value
         for name, value in headers.items()
-        if name not in _NOT_RETURNED or name == SERVED_BY
+        if name not in excluded
     }
 
 
--- a/src/sycamorespool/requests/attempts.py
+++ b/src/sycamorespool/requests/attempts.py
@@ -114,6 +114,7 @@
         self.first_s = 0.0
         self.status = answer.status
         self.headers = answer.headers
+        self.joined_headers = answer.joined_headers
 
     async def read_event(self, is_whole: abc.Callable[[bytes], bool]) -> None:
         """Read ahead until there is a whole event, or to the end.
@@ -269,8 +270,8 @@
                 movable.is_waiting = False
                 watched = _ObservedAnswer(answer, activity, movable)
                 if call.passed_on is not None:
-                    watched.headers = {
-                        **answer.headers,
+                    watched.joined_headers = {
+                        **answer.joined_headers,
                         **headers.encode_served_by(backend),
                     }
                 await _relay(call, watched, caller_answer, movable)
--- a/src/sycamorespool/requests/caller_request.py
+++ b/src/sycamorespool/requests/caller_request.py
@@ -29,7 +29,8 @@
         Ids of the parts of the prompt in order; requests may share parts,
         except for the last one, which is the request's own.
     headers : dict
-        Headers to pass on, by lower-case name.
+        Headers to pass on, by lower-case name, as
+        ``http_client.join_headers`` returns them.
     """
 
     attempt_id: str
--- a/src/sycamorespool/requests/event_counts.py
+++ b/src/sycamorespool/requests/event_counts.py
@@ -38,6 +38,7 @@
 
     status: int
     headers: dict[str, str]
+    joined_headers: dict[str, str]
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, or none at its end."""
--- a/src/sycamorespool/requests/relay.py
+++ b/src/sycamorespool/requests/relay.py
@@ -201,7 +201,7 @@
     ) -> None:
         if not self.is_started:
             selected = {
-                **self._select_headers(answer.headers),
+                **self._select_headers(answer.joined_headers),
                 **self._headers,
             }
             headers = asgi.encode_headers(content_type, selected)
--- a/tests/hosted/test_path.py
+++ b/tests/hosted/test_path.py
@@ -8,6 +8,7 @@
 from sycamorespool.decisions import rendezvous
 from sycamorespool.peers import peer_reads
 from tests.hosted import fleet as fleets
+from tests.hosted import raw_fleet
 
 # Records of this age, fetched every half second, would let an entry send
 # requests to a server for more than the two seconds after it left.
@@ -320,3 +321,38 @@
         for other in names
         if rendezvous.choose(data_centre, [name, other]) == other
     )
+
+
+class TestHeadersThatComeTwice:
+    # Only the last line reached the other side.
+    def test_all_lines_reach_the_server_and_the_caller(self, run_hosted):
+        requests = []
+
+        async def act(server, stream, request):
+            requests.append(request.lower())
+            whole = raw_fleet.make_whole(request)
+            cookies = b"\r\nset-cookie: a=1\r\nset-cookie: b=2\r\n"
+            await stream.send_all(whole.replace(b"\r\n", cookies, 1))
+
+        async def scenario(fleet):
+            servers = raw_fleet.Servers(fleet)
+            await servers.start(["a"])
+            servers.acts = [act]
+            answer = await fleet.pool.request(
+                "GET",
+                f"http://{fleet.callers}/stock/1",
+                headers=[
+                    ("host", fleets.HOST),
+                    ("authorization", f"Bearer {fleets.KEY}"),
+                    ("sycamorespool-attempt-id", "a1"),
+                    ("via", "one"),
+                    ("via", "two"),
+                ],
+            )
+            assert answer.status == 200
+            cookies = [v for n, v in answer.headers if n == b"set-cookie"]
+            assert cookies == [b"a=1", b"b=2"]
+            (request,) = requests
+            assert b"via: one\r\nvia: two\r\n" in request
+
+        run_hosted(scenario)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -33,7 +33,7 @@
     status = 200
 
     def __init__(self):
-        self.headers = {"content-type": "text/plain"}
+        self.headers = self.joined_headers = {"content-type": "text/plain"}
         self.parts = [b"ok", b""]
 
     async def read(self):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -25,7 +25,7 @@
     status = 200
 
     def __init__(self, start, cut, sizes):
-        self.headers = {
+        self.headers = self.joined_headers = {
             "content-type": relay.EVENT_STREAM,
             event_counts.RESUME_HEADER: str(start),
         }
@@ -130,7 +130,7 @@
 
     def __init__(self, *parts, status=200, kind=relay.EVENT_STREAM):
         self.status = status
-        self.headers = {"content-type": kind}
+        self.headers = self.joined_headers = {"content-type": kind}
         self._parts = list(parts)
 
     async def read(self):
