--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -33,6 +33,8 @@
 # Time between two checks whether their reports have come by now, or whether
 # this entry has served a trait that others may suspect.
 RECHECK_S = 0.5
+# How long a request is only held while another one was at the same ends.
+TWIN_S = 60.0
 BLOCK_S = 600.0
 # How long an end counts.
 WINDOW_S = 120.0
@@ -280,7 +282,8 @@
         return
     if not is_enough or now_s < hold.due_s:
         return
-    if suspicion.is_alone and state.heard_s >= hold.since_s + CONFIRM_S:
+    is_clear = suspicion.is_alone or now_s >= hold.since_s + TWIN_S
+    if is_clear and state.heard_s >= hold.since_s + CONFIRM_S:
         del state.holds[trait]
         state.blocked_until_s[trait] = now_s + BLOCK_S
     else:
--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/server_limits.py
@@ -110,10 +110,10 @@
         The limits that all entries know, by server id.
     usable_from_s : dict
         From when this entry may use the partitions that it holds.
-    gone_s : dict
-        Since when a limited server is not in the registry.
     share : ShareLease
         How many these are, and until when they are its own.
+    gone_s : dict
+        Since when a limited server is not in the registry.
     """
 
     partitions: tuple[Partition, ...]
@@ -122,10 +122,10 @@
     usable_from_s: dict[Partition, float] = dataclasses.field(
         default_factory=dict
     )
-    gone_s: dict[str, float] = dataclasses.field(default_factory=dict)
     share: share_leases.ShareLease = dataclasses.field(
         default_factory=share_leases.ShareLease
     )
+    gone_s: dict[str, float] = dataclasses.field(default_factory=dict)
     _buckets: dict[str, _Bucket] = dataclasses.field(default_factory=dict)
 
 
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -118,6 +118,18 @@
             fatal_traits.review(state, now_s)
         assert set(state.blocked_until_s) == {"request:1"}
 
+    # The ends are forgotten later, and servers would end anew.
+    def test_request_that_is_held_for_long_is_blocked(self):
+        state = fatal_traits.FatalTraits()
+        both = [("request:1",), ("request:2",)]
+        for number in range(3):
+            fatal_traits.note_end(state, end(number, *both), 1.0)
+        blocked = [
+            fatal_traits.review(state, 1.0 + now_s).blocked
+            for now_s in (0.0, 59.0, 60.0)
+        ]
+        assert blocked == [[], [], ["request:2"]]
+
 
 class TestWords:
     """Tests of what entries tell each other of served traits."""
