Tell each word of what was served once

Now an entry reports only if the report clears what no other report does. Both cases of the new test fail before.

--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -327,22 +327,13 @@
     ends = state.ends.values()
     state.doubted = frozenset(end_causes.count_unserved(ends, find_reported_s))
     state.word_due_s = math.inf
-    if not any(_has_served(state, trait) for trait in state.doubted):
-        return []
     # A report replaces the one before, which an entry that starts later
     # does not see.
     suspects = end_causes.count_unserved(ends, lambda _: -math.inf)
-    doubted = end_causes.count_unserved(ends, state.find_served_s)
-    words = suspects.keys() - doubted.keys()
-    return sorted(words, key=lambda trait: (-suspects[trait], trait))[
-        :MAX_REPORTED
-    ]
-
-
-def _has_served(state: FatalTraits, trait: str) -> bool:
-    served_s = state.served_s.get(trait, -math.inf)
-    return any(
-        trait in seen.depths
-        and served_s >= seen.at_s - end_causes.SERVED_VALID_S
-        for seen in state.ends.values()
+    unserved = end_causes.count_unserved(ends, state.find_served_s)
+    served = sorted(
+        suspects.keys() - unserved.keys(),
+        key=lambda trait: (-suspects[trait], trait),
     )
+    words = served[:MAX_REPORTED]
+    return words if state.doubted.intersection(words) else []
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -151,6 +151,22 @@
         fatal_traits.note_served(state, ("bb",), 3.0)
         assert sorted(fatal_traits.review(state, 3.5).served) == ["aa", "bb"]
 
+    # What does not fit, or is not cleared, was told again and again.
+    @pytest.mark.parametrize("count", [1, 2 * fatal_traits.MAX_REPORTED])
+    def test_each_word_is_told_once(self, count):
+        state = fatal_traits.FatalTraits()
+        parts = tuple(f"a{number}" for number in range(count))
+        fatal_traits.note_served(state, ("cc", *parts), 1.0)
+        note_ends(state, parts, parts, ("cc", "1"), at_s=2.0)
+        for number in (7, 8):
+            late = end(number, ("cc", f"{number}"))
+            fatal_traits.note_end(state, late, 50.0)
+        told = fatal_traits.review(state, 50.0).served
+        assert len(told) == min(count, fatal_traits.MAX_REPORTED)
+        for trait in told:
+            fatal_traits.note_reported_served(state, trait, 1.0)
+        assert fatal_traits.review(state, 50.1).served == []
+
     # Nothing was reported any more when an entry had started that knew the
     # ends and no words.
     def test_trait_that_is_served_after_the_ends_is_told_soon(self):
