--- a/src/sycamorespool/decisions/end_causes.py
+++ b/src/sycamorespool/decisions/end_causes.py
@@ -89,12 +89,12 @@
             break
         own = ends_by_trait[trait]
         explained = all_counts[trait] if is_identity(trait) else counts[trait]
-        found[trait] = Suspicion(explained, not _find_twins(trait, own))
+        found[trait] = Suspicion(explained, not _find_companions(trait, own))
         _remove_ends(own, counts)
     return found
 
 
-def _find_twins(trait: str, ends: list[Depths]) -> set[str]:
+def _find_companions(trait: str, ends: list[Depths]) -> set[str]:
     """Return the requests that were at each of the ends left to another."""
     if not is_identity(trait):
         return set()
--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/fatal_traits.py
@@ -34,7 +34,7 @@
 # this entry has served a trait that others may suspect.
 RECHECK_S = 0.5
 # How long a request is only held while another one was at the same ends.
-TWIN_S = 60.0
+AMBIGUOUS_S = 60.0
 BLOCK_S = 600.0
 # How long an end counts.
 WINDOW_S = 120.0
@@ -136,9 +136,9 @@
         When the block of a trait was lifted lately.
     heard_s : float
         Until when the reports of the other entries are known.
-    doubted : frozenset
+    uncleared : frozenset
         Traits that another entry may suspect, by the reports.
-    word_due_s : float
+    served_due_s : float
         When to review that one of these has been served here since.
     """
 
@@ -154,13 +154,13 @@
     reported_blocks: set[str] = dataclasses.field(default_factory=set)
     lifted_s: dict[str, float] = dataclasses.field(default_factory=dict)
     heard_s: float = math.inf
-    doubted: frozenset[str] = frozenset()
-    word_due_s: float = math.inf
+    uncleared: frozenset[str] = frozenset()
+    served_due_s: float = math.inf
 
     def find_review_due_s(self) -> float:
         """Return when a review is due without any further report."""
         dues_s = [h.due_s for h in self.holds.values() if h.is_enough]
-        return min([*dues_s, self.word_due_s])
+        return min([*dues_s, self.served_due_s])
 
     def find_block(self, traits: Traits, now_s: float) -> Block | None:
         """Return why no request with these traits is to be sent now.
@@ -210,8 +210,8 @@
     for trait in prompt:
         state.served_s.pop(trait, None)
         state.served_s[trait] = now_s
-        if trait in state.doubted:
-            state.word_due_s = min(state.word_due_s, now_s + RECHECK_S)
+        if trait in state.uncleared:
+            state.served_due_s = min(state.served_due_s, now_s + RECHECK_S)
     while len(state.served_s) > MAX_SERVED:
         del state.served_s[next(iter(state.served_s))]
 
@@ -265,7 +265,7 @@
     for trait, suspicion in ends.items():
         _suspect(state, trait, suspicion, now_s)
     unreported = state.blocked_until_s.keys() - state.reported_blocks
-    return Review(sorted(unreported), _list_words(state))
+    return Review(sorted(unreported), _list_served(state))
 
 
 def _suspect(
@@ -282,7 +282,7 @@
         return
     if not is_enough or now_s < hold.due_s:
         return
-    is_clear = suspicion.is_alone or now_s >= hold.since_s + TWIN_S
+    is_clear = suspicion.is_alone or now_s >= hold.since_s + AMBIGUOUS_S
     if is_clear and state.heard_s >= hold.since_s + CONFIRM_S:
         del state.holds[trait]
         state.blocked_until_s[trait] = now_s + BLOCK_S
@@ -314,7 +314,7 @@
     }
 
 
-def _list_words(state: FatalTraits) -> list[str]:
+def _list_served(state: FatalTraits) -> list[str]:
     """Return the served traits to report, none if others know it all.
 
     Others may not know the same ends, nor explain them in the same way.  So
@@ -325,8 +325,10 @@
         return state.reported_served_s.get(trait, -math.inf)
 
     ends = state.ends.values()
-    state.doubted = frozenset(end_causes.count_unserved(ends, find_reported_s))
-    state.word_due_s = math.inf
+    state.uncleared = frozenset(
+        end_causes.count_unserved(ends, find_reported_s)
+    )
+    state.served_due_s = math.inf
     # A report replaces the one before, which an entry that starts later
     # does not see.
     suspects = end_causes.count_unserved(ends, lambda _: -math.inf)
@@ -335,5 +337,5 @@
         suspects.keys() - unserved.keys(),
         key=lambda trait: (-suspects[trait], trait),
     )
-    words = served[:MAX_REPORTED]
-    return words if state.doubted.intersection(words) else []
+    told = served[:MAX_REPORTED]
+    return told if state.uncleared.intersection(told) else []
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -131,7 +131,7 @@
         assert blocked == [[], [], ["request:2"]]
 
 
-class TestWords:
+class TestServedTraits:
     """Tests of what entries tell each other of served traits."""
 
     # The entry that knows more ends explains them by another trait.
@@ -153,7 +153,7 @@
 
     # What does not fit, or is not cleared, was told again and again.
     @pytest.mark.parametrize("count", [1, 2 * fatal_traits.MAX_REPORTED])
-    def test_each_word_is_told_once(self, count):
+    def test_each_served_trait_is_told_once(self, count):
         state = fatal_traits.FatalTraits()
         parts = tuple(f"a{number}" for number in range(count))
         fatal_traits.note_served(state, ("cc", *parts), 1.0)
@@ -168,7 +168,7 @@
         assert fatal_traits.review(state, 50.1).served == []
 
     # Nothing was reported any more when an entry had started that knew the
-    # ends and no words.
+    # ends, but not what had been served.
     def test_trait_that_is_served_after_the_ends_is_told_soon(self):
         state = fatal_traits.FatalTraits()
         note_ends(state, ("aa", "1"), ("aa", "2"))
