Wait until the reports are read, not for 1.1 s

Beside load the entry could have read nothing by then.

Ruled out for the sleep after it: it shows that nothing is blocked in the time in which it would be.

--- a/src/sycamorespool/standins/hosted_store.py
+++ b/src/sycamorespool/standins/hosted_store.py
@@ -91,6 +91,8 @@
         Number that all answers name and that each restore increases.
     group_states : list
         Each state of the group so far.
+    read_from : dict
+        The position from which each topic was last read.
     """
 
     partitions: int = 2
@@ -107,6 +109,7 @@
     refused: int = 0
     timeline: int = 1
     group_states: list[GroupState] = dataclasses.field(default_factory=list)
+    read_from: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def restore(self, age_s: float) -> None:
         """Go back to the state that was true ``age_s`` ago."""
@@ -185,6 +188,7 @@
     async def _read(self, request: asgi.Request) -> asgi.Response:
         topic = self._find(request)
         start = int(request.query["from"])
+        self.read_from[request.query["topic"]] = start
         if not topic.first <= start <= len(topic.records):
             return asgi.answer_json({"first": topic.first}, 410)
         wait_s = float(request.query.get("wait_ms", "0")) / 1000
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -7,7 +7,6 @@
 import trio
 
 from sycamorespool.decisions import fatal_traits
-from sycamorespool.store import server_ends
 from tests.hosted import fleet as fleets
 
 TOPIC = "keyed.server-ends"
@@ -101,7 +100,11 @@
             for number in range(3):
                 end = make_end(number, ["aa", FATAL, f"{number}"])
                 fleet.store.put(TOPIC, f"end/e{number}/1", end)
-            await trio.sleep(server_ends.PERIOD_S + 0.1)
+
+            async def are_read():
+                return fleet.store.read_from.get(TOPIC) == 3
+
+            await fleet.wait_for(are_read)
             fleet.store.is_down = True
             await trio.sleep(2 * fatal_traits.CONFIRM_S)
             assert await fleet.read_metric("parts_blocked") == 0
