Bound what callers hold of an entry, over all connections

Callers saw entries end: bodies of legal size that stop short of their end were read whole, 8 MiB each, before route and key were looked at, and nothing bounded their sum. Connections that stay open used up the descriptors, and an answer by the entry itself waited for its reader without an end.

decisions/client_memory divides a sum of bytes and a number of connections among the callers of all listeners; callers that hold most for longest without progress give way. Route and key come before the body. Parsed fields count at their cost before they are parsed. A connection lets others run after 64 parts of a body and after each request that was sent ahead.

tests/floods plays 12 kinds of callers at four places, and readers that stop, against a process with 96 MB and 200 descriptors.

The figures of engines that the configuration publishes, and predictions from them, are in place but switched off: no settings use them yet.

--- a/src/sycamorespool/asgi.py
+++ b/src/sycamorespool/asgi.py
@@ -28,8 +28,10 @@
 MAX_HEAD_BYTES = 32 * 1024
 JSON_TYPE = "application/json"
 PROBLEM_TYPE = "application/problem+json"
-# Extension of a scope that holds the target as it was received.
+# Extensions of a scope: the target as it was received, and a function that
+# accounts for memory held for the caller and tells whether there is room.
 RAW_TARGET = "sycamorespool.raw_target"
+MAY_HOLD = "sycamorespool.may_hold"
 
 
 class BodyTooLarge(Exception):
@@ -96,11 +98,11 @@
         query,
         headers,
         body,
-        _find_target(scope),
+        find_target(scope),
     )
 
 
-def _find_target(scope: Scope) -> str:
+def find_target(scope: Scope) -> str:
     """Return the target as it was received, if the server tells it.
 
     A scope without it does not show whether there was an empty query.
@@ -113,6 +115,12 @@
     return f"{target}?{query_string}" if query_string else target
 
 
+def find_length(scope: Scope) -> int:
+    """Return the length that a request's head gives for its body, or 0."""
+    given = dict(scope["headers"]).get(b"content-length", b"")
+    return int(given) if given.isdigit() else 0
+
+
 async def read_body(receive: Receive, limit_bytes: int) -> bytes:
     """Read the whole body of a request.
 
@@ -123,19 +131,17 @@
     CallerGone
         If the caller disconnects before the end of the body.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGone
-        part = message.get("body", b"")
-        size += len(part)
-        if size > limit_bytes:
+        # Many small parts would take far more memory than their bytes.
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
             raise BodyTooLarge
-        parts.append(part)
         if not message.get("more_body", False):
-            return b"".join(parts)
+            return bytes(body)
 
 
 def encode_headers(
--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -9,6 +9,7 @@
 import contextlib
 import dataclasses
 import math
+import re
 import urllib.parse
 
 from absl import logging
@@ -16,8 +17,10 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.callers import clients
 from sycamorespool.callers import exchange
 from sycamorespool.callers import problems
+from sycamorespool.decisions import client_memory
 from sycamorespool import exceptions
 from sycamorespool import settings
 from sycamorespool import sockets
@@ -31,6 +34,9 @@
     431: ("head_too_large", "the request head is too long"),
     501: ("bad_http", "the transfer encoding is not supported"),
 }
+# Blank line at the end of a head, as h11 finds it.
+HEAD_END = re.compile(rb"\n\r?\n")
+HEAD_END_BYTES = 3
 NO_TUNNELS = ("bad_http", "the method CONNECT is not supported", 501)
 BAD_HTTP = ("bad_http", "the request is not valid HTTP/1.1")
 INTERNAL_ERROR = ("internal_error", "the entry failed to serve the request")
@@ -52,7 +58,8 @@
     """
 
     app: asgi.App
-    limits: settings.LimitsSection
+    find_limits: abc.Callable[[], settings.LimitsSection]
+    clients: clients.Clients
     idle: set[trio.CancelScope] = dataclasses.field(default_factory=set)
     open: set[trio.CancelScope] = dataclasses.field(default_factory=set)
     end_s: float = math.inf
@@ -64,15 +71,7 @@
         return self.is_stopping or self.is_leaving()
 
 
-class _HeadRefused(Exception):
-    """Raised when a request head is not valid, or over a limit."""
-
-    def __init__(self, code: str, detail: str, status: int) -> None:
-        super().__init__(detail)
-        self.error = exceptions.NotRun(code, detail, status)
-
-
-def _make_scope(request: h11.Request) -> asgi.Scope:
+def _make_scope(request: h11.Request, client: clients.Client) -> asgi.Scope:
     path, _, query = request.target.partition(b"?")
     return {
         "type": "http",
@@ -85,7 +84,10 @@
         "query_string": query,
         "root_path": "",
         "headers": list(request.headers),
-        "extensions": {asgi.RAW_TARGET: {"target": request.target}},
+        "extensions": {
+            asgi.RAW_TARGET: {"target": request.target},
+            asgi.MAY_HOLD: {"may_hold": client.may_hold},
+        },
     }
 
 
@@ -94,62 +96,97 @@
         len(name) + len(value) for name, value in request.headers
     )
     if size > limit_bytes:
-        raise _HeadRefused(*HEAD_ERRORS[431], 431)
+        raise exceptions.NotRun(*HEAD_ERRORS[431], 431)
 
 
-async def _read_head(
-    server: _Server, http: h11.Connection, connection: sockets.Connection
-) -> h11.Request | None:
-    limits = server.limits
+async def _wait_for_request(
+    server: _Server, http: h11.Connection, client: clients.Client
+) -> bool:
+    """Wait for the first bytes of a request; tell whether any came."""
+    limits = server.find_limits()
     wait_s = 0.0 if server.is_stopping else limits.keep_alive_timeout_s
     with trio.move_on_after(wait_s) as idle:
         server.idle.add(idle)
         try:
             if not http.trailing_data[0]:
-                http.receive_data(await connection.receive())
+                data = await client.receive(clients.HEAD_READ_BYTES)
+                http.receive_data(data)
         finally:
             server.idle.discard(idle)
-    if idle.cancelled_caught and connection.is_idle():
+    return not (idle.cancelled_caught and client.connection.is_idle())
+
+
+async def _receive_head(
+    http: h11.Connection, client: clients.Client, max_bytes: int
+) -> None:
+    """Receive until there is a whole head, and account for its fields.
+
+    A parsed field takes far more memory than its bytes.
+    """
+    received = bytearray(http.trailing_data[0])
+    searched = 0
+    while (end := HEAD_END.search(received, searched)) is None:
+        searched = max(0, len(received) - HEAD_END_BYTES)
+        if len(received) > max_bytes:
+            return
+        data = await client.receive(clients.HEAD_READ_BYTES)
+        http.receive_data(data)
+        if not data:
+            return
+        received += data
+    await client.hold(
+        received.count(b"\n", 0, end.start()) * clients.FIELD_BYTES
+    )
+
+
+async def _read_head(
+    server: _Server, http: h11.Connection, client: clients.Client
+) -> h11.Request | None:
+    if not await _wait_for_request(server, http, client):
         return None
+    client.set_phase(client_memory.Phase.READING)
+    limits = server.find_limits()
     event = None
     try:
         with trio.move_on_after(limits.head_timeout_s):
-            event = await exchange.next_event(http, connection)
+            await _receive_head(http, client, limits.max_head_bytes)
+            event = await exchange.next_event(http, client)
     except h11.RemoteProtocolError as error:
         status = error.error_status_hint
-        raise _HeadRefused(
+        raise exceptions.NotRun(
             *HEAD_ERRORS.get(status, BAD_HTTP), status
         ) from error
     if event is None:
         detail = (
             f"the head was not complete within {limits.head_timeout_s:g} s"
         )
-        raise _HeadRefused("head_timeout", detail, 408)
+        raise exceptions.NotRun("head_timeout", detail, 408)
     if not isinstance(event, h11.Request):
         return None
     if event.method == b"CONNECT":
-        raise _HeadRefused(*NO_TUNNELS)
+        raise exceptions.NotRun(*NO_TUNNELS)
     _check_size(event, limits.max_head_bytes)
     return event
 
 
 async def _serve_one(
-    server: _Server, http: h11.Connection, connection: sockets.Connection
+    server: _Server, http: h11.Connection, client: clients.Client
 ) -> bool:
     """Serve one request; return whether another one may follow."""
-    current = exchange.Exchange(http, connection, server.is_closing)
+    current = exchange.Exchange(http, client, server.is_closing)
     try:
-        request = await _read_head(server, http, connection)
-    except _HeadRefused as refused:
-        await _answer(http, current, refused.error)
-        return await _end_exchange(http, connection)
+        await client.begin_exchange(len(http.trailing_data[0]))
+        request = await _read_head(server, http, client)
+    except exceptions.NotRun as error:
+        await _answer(http, current, error)
+        return await _end_exchange(http, client.connection)
     if request is None:
         return False
     current.is_head = request.method == b"HEAD"
     try:
         with _limit_time(server) as time_limit:
             await server.app(
-                _make_scope(request), current.receive, current.send
+                _make_scope(request, client), current.receive, current.send
             )
         if time_limit.cancelled_caught:
             await _answer(http, current, exceptions.OutcomeUnknown(*STOPPING))
@@ -157,12 +194,14 @@
             await _answer(http, current, exceptions.NotRun(*BAD_HTTP, 400))
     except asgi.CallerGone:
         raise
+    except exceptions.NotRun as error:
+        await _answer(http, current, error)
     except Exception as error:
         if not isinstance(error, asgi.AnswerCut):
             logging.exception("callers: serving a request failed")
         failure = exceptions.OutcomeUnknown(*INTERNAL_ERROR)
         await _answer(http, current, failure)
-    return await _end_exchange(http, connection)
+    return await _end_exchange(http, client.connection)
 
 
 @contextlib.contextmanager
@@ -214,23 +253,24 @@
             read_bytes += len(data)
 
 
-async def _serve_connection(
-    server: _Server, connection: sockets.Connection
-) -> None:
-    http = h11.Connection(
-        h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
-    )
+async def _serve_connection(server: _Server, client: clients.Client) -> None:
+    max_head_bytes = server.find_limits().max_head_bytes
+    http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes)
     try:
-        while await _serve_one(server, http, connection):
-            pass
+        with client.scope:
+            while await _serve_one(server, http, client):
+                client.note_answered()
+                # Requests that were sent ahead must not keep others waiting.
+                await trio.lowlevel.checkpoint()
     except (OSError, asgi.AnswerCut, asgi.CallerGone):
         pass
     except Exception:
         logging.exception("callers: serving a request failed")
     finally:
-        if _ends_by_closing(http):
-            connection.reset()
-        connection.close()
+        if client.scope.cancelled_caught or _ends_by_closing(http):
+            client.connection.reset()
+        client.connection.close()
+        server.clients.close(client)
 
 
 def _ends_by_closing(http: h11.Connection) -> bool:
@@ -247,6 +287,8 @@
     stop: trio.Event,
     grace_s: float = 3.0,
     is_leaving: abc.Callable[[], bool] = lambda: False,
+    find_limits: abc.Callable[[], settings.LimitsSection] | None = None,
+    shared: clients.Clients | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application at ``IP:port`` until ``stop`` is set.
@@ -255,8 +297,22 @@
     have no answer by then get a 502.  From when ``is_leaving`` returns true,
     also before the stop, each connection closes after its next answer, which
     says so.  The task status is the address that was bound.
+
+    Parameters
+    ----------
+    find_limits : callable, optional
+        Returns the limits of requests that are in force, if they change; by
+        default ``limits``.
+    shared : Clients, optional
+        The connections of all listeners that share one bound; by default
+        those of this listener.
     """
-    server = _Server(app, limits, is_leaving=is_leaving)
+    server = _Server(
+        app,
+        find_limits or (lambda: limits),
+        shared or clients.Clients(limits),
+        is_leaving=is_leaving,
+    )
     listener = sockets.Listener(address)
     async with trio.open_nursery() as nursery:
         async with trio.open_nursery() as accepting:
@@ -281,4 +337,5 @@
 ) -> None:
     while True:
         connection = await listener.accept()
-        nursery.start_soon(_serve_connection, server, connection)
+        client = server.clients.open(connection)
+        nursery.start_soon(_serve_connection, server, client)
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -10,6 +10,11 @@
 requests in flight, so that nearly all groups are equal to it, and the entries
 of a data centre would together overload the few groups there.
 
+Where the engine's times are published, the load is the delay that the request
+would meet and cause.  If the entry knows what the others have at the servers,
+it takes the better of two at random: what it knows is some hundred ms old, and
+all entries would choose the same best one.
+
 A group becomes suspect when none of its streams makes progress, even before
 its owner has detected the failure.  It then gets no request while another
 group can serve it.
@@ -18,10 +23,13 @@
 import collections
 from collections import abc
 import dataclasses
+import itertools
 import math
 
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
+from sycamorespool.decisions import engine_load
+from sycamorespool.decisions import fleet_load
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import server_activity
 
@@ -34,6 +42,9 @@
 # at most after several refusals in a row.
 REFUSED_BLOCK_S = 0.15
 MAX_REFUSED_BLOCK_S = 0.6
+# Servers of which the best is chosen if the load of the fleet is known.
+CHOICES = 2
+NO_REQUESTS = fleet_load.Requests()
 # Servers whose leaving is remembered; the oldest are forgotten first.
 MAX_LEAVING = 4096
 
@@ -63,6 +74,9 @@
         in the registry, as a restored registry may list it again.
     backoff_until_s : dict
         Until when a server wants no request from this entry, by server id.
+    others : mapping
+        Requests of the other entries at the servers, by server id; empty if
+        they are not known.
     """
 
     registry: registry.Registry
@@ -81,6 +95,24 @@
     )
     leaving_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     backoff_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    others: abc.Mapping[str, fleet_load.Requests] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def find_load(self, backend_id: str) -> engine_load.ServerLoad:
+        """Return what a server has to do, as far as it is known."""
+        others = self.others.get(backend_id, NO_REQUESTS)
+        load = engine_load.ServerLoad(others.running, others.postponed)
+        activity = self.activities.get(backend_id)
+        if activity is None:
+            return load
+        load.requests += activity.in_flight
+        for attempt in activity.running:
+            if not attempt.has_begun:
+                load.unread += 1
+                load.unread_tokens += attempt.prompt_tokens
+                load.postponed += attempt.is_postponed
+        return load
 
     def note_notice(
         self, backend: backends.Backend, notice: backends.Notice, now_s: float
@@ -169,12 +201,16 @@
         Regions that may serve the request; None for all.
     excluded : frozenset of str
         Ids of the servers that were tried already.
+    predict_cost_s : callable, optional
+        Returns the delay that the request meets and causes at a server with
+        a given load; without it requests are counted.
     """
 
     service: str
     model: str = ""
     allowed_regions: frozenset[str] | None = None
     excluded: frozenset[str] = frozenset()
+    predict_cost_s: abc.Callable[[engine_load.ServerLoad], float] | None = None
 
 
 def _list_heads(
@@ -272,19 +308,50 @@
     if not usable:
         return None
 
-    def compute_load(backend: backends.Backend) -> float:
+    def is_suspect(backend: backends.Backend) -> bool:
         activity = placement.activities.get(backend.backend_id)
-        load = activity.in_flight / max(1, backend.slots) if activity else 0.0
         mean_ttfb_s = placement.find_mean_ttfb_s(backend)
-        if activity and server_activity.is_suspect(
+        return activity is not None and server_activity.is_suspect(
             activity, mean_ttfb_s, now_s
-        ):
-            load += SUSPECT_PENALTY
-        return load
+        )
 
-    start = int(tie_breaker * len(usable))
-    ranked = sorted(usable[start:] + usable[:start], key=compute_load)
-    return next((b for b in ranked if may_take(b)), None)
+    def compute_load(backend: backends.Backend) -> float:
+        if request.predict_cost_s is not None:
+            found = placement.find_load(backend.backend_id)
+            load = request.predict_cost_s(found)
+        else:
+            load = _count_load(placement, backend)
+        return load + SUSPECT_PENALTY if is_suspect(backend) else load
+
+    ordered = _rotate(usable, tie_breaker)
+    if request.predict_cost_s is None or not placement.others:
+        ranked = sorted(ordered, key=compute_load)
+        return next((b for b in ranked if may_take(b)), None)
+    sound = [b for b in ordered if not is_suspect(b)]
+    suspect = [b for b in ordered if is_suspect(b)]
+    takers = (b for b in [*sound, *suspect] if may_take(b))
+    chosen = list(itertools.islice(takers, CHOICES))
+    return min(chosen, key=compute_load, default=None)
+
+
+def _count_load(placement: PlacementState, backend: backends.Backend) -> float:
+    """Return this entry's requests at a server, as a part of its slots."""
+    activity = placement.activities.get(backend.backend_id)
+    return activity.in_flight / max(1, backend.slots) if activity else 0.0
+
+
+def _rotate(
+    usable: list[backends.Backend], tie_breaker: float
+) -> list[backends.Backend]:
+    """Return the servers from a random one on, the second one random too."""
+    count = len(usable)
+    position = tie_breaker * count
+    start = int(position)
+    ordered = usable[start:] + usable[:start]
+    if count > 2:
+        second = 1 + int((position - start) * (count - 1))
+        ordered[1], ordered[second] = ordered[second], ordered[1]
+    return ordered
 
 
 def forget(placement: PlacementState, backend_id: str, now_s: float) -> None:
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -16,6 +16,7 @@
 import time
 
 import httpcore
+import msgspec
 import trio
 
 from sycamorespool import address_pools
@@ -40,6 +41,7 @@
 from sycamorespool.platform import store
 from sycamorespool.requests import cut_requests
 from sycamorespool import routing_table
+from sycamorespool import settings
 from sycamorespool.store import record_cache
 
 # A configuration is trusted for this fraction of ``bounds.revoke_ms``, the
@@ -57,6 +59,8 @@
 # partition.
 SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
 
+NO_LIMITS = routing_table.RequestLimits()
+
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
 
@@ -199,6 +203,23 @@
         has_state = self.table is not None and self.has_registry
         return has_state and not self.is_stopping and self.is_config_trusted()
 
+    def find_limits(self) -> settings.LimitsSection:
+        """Return the limits of callers that are in force.
+
+        The operators' configuration replaces those of the settings, but a
+        head that the settings allow is not refused.
+        """
+        limits = self.settings.limits
+        if self.table is None or self.table.limits == NO_LIMITS:
+            return limits
+        given = self.table.limits
+        return msgspec.structs.replace(
+            limits,
+            max_head_bytes=max(limits.max_head_bytes, given.max_head_bytes),
+            max_body_bytes=given.max_body_bytes or limits.max_body_bytes,
+            head_timeout_s=max(limits.head_timeout_s, given.head_timeout_s),
+        )
+
     def record_cache_of(self, topic: str) -> "record_cache.RecordCache":
         """Return the record cache of a topic, made at first use."""
         return self.record_caches.setdefault(topic, record_cache.RecordCache())
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -10,6 +10,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.callers import clients
 from sycamorespool.callers import server
 from sycamorespool import domain_owner
 from sycamorespool import entry_context
@@ -156,7 +157,9 @@
 
 
 async def _serve_requests(
-    context: entry_context.EntryContext, stop: trio.Event
+    context: entry_context.EntryContext,
+    stop: trio.Event,
+    shared: clients.Clients,
 ) -> None:
     """Serve callers and other entries until a stop, and its grace, end."""
     listen = context.settings.listen
@@ -173,6 +176,8 @@
         stop=stop,
         grace_s=max(0.0, _find_grace_s(context) - BALANCER_DELAY_S),
         is_leaving=lambda: context.is_stopping,
+        find_limits=context.find_limits,
+        shared=shared,
     )
     async with trio.open_nursery() as nursery:
         for app, address in (
@@ -194,6 +199,10 @@
     loaded = node_settings.load(path)
     context = entry_context.make_context(loaded)
     stop = trio.Event()
+    shared = clients.Clients(
+        loaded.limits,
+        lambda reason: context.metrics.count("clients_closed", reason),
+    )
     async with trio.open_nursery() as nursery:
         start = nursery.start_soon
         start_kept = functools.partial(start, _keep_running)
@@ -211,7 +220,8 @@
             (_make_readiness_app(context), loaded.listen.readiness),
             (metrics_page.make_app(context), loaded.listen.metrics),
         ):
-            start(server.serve, app, address, loaded.limits, trio.Event())
+            serve = functools.partial(server.serve, shared=shared)
+            start(serve, app, address, loaded.limits, trio.Event())
         start(_stop_on_signal, context, stop)
         log.info(
             "started",
@@ -219,7 +229,7 @@
             incarnation=context.incarnation,
             count=loaded.platform.partitions,
         )
-        await _serve_requests(context, stop)
+        await _serve_requests(context, stop, shared)
         log.info("stopped", open=context.requests_open)
         nursery.cancel_scope.cancel()
     log.info("ended", name=context.name)
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -43,6 +43,12 @@
         _REQUEST_LABELS,
         "Whole answers given to callers.",
     ),
+    "clients_closed": Metric(
+        "counter",
+        "connections",
+        ("reason",),
+        "Connections of callers closed to make room for others.",
+    ),
     "requests_not_run": Metric(
         "counter", "requests", ("code",), "Refusals that say not run."
     ),
--- a/src/sycamorespool/node_settings.py
+++ b/src/sycamorespool/node_settings.py
@@ -8,8 +8,6 @@
 
 from sycamorespool import settings
 
-DEFAULT_LIMITS = settings.LimitsSection()
-
 
 class EntrySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Holds the entry's name and location.
@@ -96,6 +94,36 @@
     load_window_s: float = 5.0
 
 
+class BalancingSection(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Holds how requests and VMs are divided among servers and models.
+
+    Parameters
+    ----------
+    by_engine_times : bool
+        Whether the published times of model engines decide where a request
+        goes, and which requests go first there.
+    share_load : bool
+        Whether entries tell each other what they have at the servers.
+    follow_demand : bool
+        Whether models get VMs by the work that callers ask for.
+    """
+
+    by_engine_times: bool = False
+    share_load: bool = False
+    follow_demand: bool = False
+
+
+class LimitsSection(settings.LimitsSection, frozen=True):
+    """Holds the limits of one entry.
+
+    The limits of requests hold where the operators' configuration has none.
+    """
+
+    max_body_bytes: settings.Bytes = 8 * 1024 * 1024
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Holds all settings of an entry on a hosted platform."""
 
@@ -103,7 +131,8 @@
     listen: ListenSection
     platform: PlatformSection
     bounds: BoundsSection = BoundsSection()
-    limits: settings.LimitsSection = DEFAULT_LIMITS
+    limits: LimitsSection = LimitsSection()
+    balancing: BalancingSection = BalancingSection()
 
 
 def map_regions(entry: EntrySection) -> dict[str, str]:
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -13,6 +13,10 @@
 ATTEMPT = "sycamorespool-attempt-id"
 DEADLINE = "sycamorespool-deadline-ms"
 MODEL = "sycamorespool-model"
+# Tokens of the prompt, and the most of the answer; and the caller's estimate
+# of the latter.
+TOKEN_COUNTS = "sycamorespool-token-counts"
+LENGTH_HINT = "sycamorespool-length-hint"
 PROMPT_PARTS = "sycamorespool-prompt-prefix"
 EXPECT_SERVER = "sycamorespool-expect-replica"
 WORKSPACE = "sycamorespool-tenant"
@@ -37,6 +41,8 @@
 PROMISES = frozenset((408, MISDIRECTED, 429, UNAVAILABLE))
 READY_PATH = "/api/ready"
 LOWEST_PRIORITY = 9
+# A longer prompt or answer counts as one of this length.
+MAX_TOKENS = 10_000_000
 # Parts of a prompt that are read; a longer list is cut, and its last part,
 # which is the request's own, is kept.
 MAX_PARTS = 32
@@ -140,6 +146,19 @@
     return tuple(parts)
 
 
+def _read_tokens(headers: abc.Mapping[str, str]) -> tuple[int, int]:
+    """Return the tokens of prompt and answer, 0 for what is not known."""
+    prompt, _, most = headers.get(TOKEN_COUNTS, "").partition(",")
+    hint = _read_length(headers.get(LENGTH_HINT, ""))
+    limit = _read_length(most)
+    answer = min(hint, limit) if hint and limit else hint or limit
+    return _read_length(prompt), answer
+
+
+def _read_length(value: str) -> int:
+    return min(decoding.read_count(value.strip()) or 0, MAX_TOKENS)
+
+
 def decode_request(
     method: str,
     target: str,
@@ -149,6 +168,7 @@
     """Decode a caller's request."""
     pairs = list(pairs)
     headers = http_client.decode_headers(pairs)
+    prompt_tokens, answer_tokens = _read_tokens(headers)
     return caller_request.CallerRequest(
         attempt_id=headers.get(ATTEMPT, ""),
         method=method,
@@ -162,6 +182,8 @@
         prompt_parts=_read_parts(headers.get(PROMPT_PARTS, "")),
         headers=_select(http_client.join_headers(pairs), _NOT_PASSED_ON),
         body=body,
+        prompt_tokens=prompt_tokens,
+        answer_tokens=answer_tokens,
     )
 
 
--- a/src/sycamorespool/platform/wire.py
+++ b/src/sycamorespool/platform/wire.py
@@ -70,11 +70,24 @@
     warm_s: decoding.Amount = 0.0
 
 
+class _Usual(msgspec.Struct, frozen=True):
+    prompt: decoding.Amount = 0.0
+    answer: decoding.Amount = 0.0
+
+
 class _Engine(msgspec.Struct):
     slots: decoding.Count
     models: tuple[_Model, ...] = ()
     loads_per_s: decoding.Amount = 0.0
     form_ms: decoding.Amount = 0.0
+    step_ms: decoding.Amount = 0.0
+    per_seq_ms: decoding.Amount = 0.0
+    read_per_s: decoding.Amount = 0.0
+    # Per million pairs of a token and an earlier one.
+    pairs_per_m: decoding.Amount = 0.0
+    chunk: decoding.Amount = 0.0
+    stride: decoding.Amount = 1.0
+    usual: _Usual = _Usual()
 
 
 class _Service(msgspec.Struct):
@@ -92,11 +105,18 @@
     allowed_regions: tuple[str, ...] = ()
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: decoding.Count = 0
+    max_body_bytes: decoding.Count = 0
+    header_timeout_ms: decoding.Amount = 0.0
+
+
 class _Config(msgspec.Struct):
     version: decoding.Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     tenants: tuple[_Tenant, ...] | None = None
+    limits: _Limits = _Limits()
 
 
 class _Member(msgspec.Struct):
@@ -152,6 +172,22 @@
     )
 
 
+def _decode_times(engine: _Engine) -> routing_table.EngineTimes | None:
+    """Return the times of an engine, None if they are not published."""
+    if not (engine.step_ms and engine.read_per_s and engine.chunk):
+        return None
+    return routing_table.EngineTimes(
+        engine.step_ms / 1000,
+        engine.per_seq_ms / 1000,
+        engine.read_per_s,
+        engine.pairs_per_m / 1e9,
+        max(1, int(engine.chunk)),
+        max(1, int(engine.stride)),
+        max(1, int(engine.usual.prompt)),
+        max(1, int(engine.usual.answer)),
+    )
+
+
 def _decode_service(service: _Service) -> routing_table.Service:
     engine = service.engine
     return routing_table.Service(
@@ -169,6 +205,7 @@
             ),
             engine.loads_per_s,
             engine.form_ms / 1000,
+            _decode_times(engine),
         ),
         service.health_path,
     )
@@ -205,6 +242,11 @@
             for key in tenant.api_keys
         },
         has_workspaces=tenants is not None,
+        limits=routing_table.RequestLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            config.limits.header_timeout_ms / 1000,
+        ),
     )
 
 
--- a/src/sycamorespool/requests/attempts.py
+++ b/src/sycamorespool/requests/attempts.py
@@ -48,6 +48,7 @@
     call: calls.Call,
     backend: backends.Backend,
     tries: call_attempts.Tries,
+    rank: int,
     now_s: float,
 ) -> call_attempts.MovableAttempt:
     least_s = MIN_STREAM_SILENCE_S if call.is_stream else MIN_ANSWER_SILENCE_S
@@ -56,17 +57,24 @@
         # The other entry begins attempts beside silent ones itself.
         silence_s *= PEER_SILENCE_FACTOR
     return call_attempts.MovableAttempt(
-        backend, trio.CancelScope(), tries, silence_s, now_s, call.traits
+        backend,
+        trio.CancelScope(),
+        tries,
+        silence_s,
+        now_s,
+        call.traits,
+        call.prompt_tokens,
+        rank,
+        rank > call.priority,
     )
 
 
 def _make_outgoing(
     call: calls.Call,
-    backend: backends.Backend,
+    movable: call_attempts.MovableAttempt,
     caller_answer: relay.Relay,
-    tries: call_attempts.Tries,
 ) -> streaming_client.OutgoingRequest:
-    request = call.request
+    request, backend, tries = call.request, movable.backend, movable.tries
     last_event = request.resume_after
     if caller_answer.events.count:
         last_event = str(caller_answer.events.last_id)
@@ -81,7 +89,7 @@
             request,
             backend.backend_id,
             call.workspace.name if call.workspace else "",
-            call.priority if request.model else None,
+            movable.rank if request.model else None,
             left_s,
             last_event,
         )
@@ -220,6 +228,8 @@
     """Return an attempt that is to run now, and count it at its server."""
     activity = context.placement_state.activities[backend.backend_id]
     now_s = trio.current_time()
+    load = context.placement_state.find_load(backend.backend_id)
+    rank = call.choose_rank(load, now_s)
     context.note_sent(backend, now_s)
     if peer_calls.is_peer(backend):
         context.metrics.count("calls_passed_on")
@@ -229,7 +239,7 @@
             entry=backend.backend_id,
             count=tries.state.tries,
         )
-    movable = _make_movable(call, backend, tries, now_s)
+    movable = _make_movable(call, backend, tries, rank, now_s)
     tries.running.append(movable)
     activity.running.add(movable)
     if call.route.is_repeatable:
@@ -252,7 +262,7 @@
         with movable.scope:
             async with streaming_client.open_request(
                 context.backend_connections,
-                _make_outgoing(call, backend, caller_answer, tries),
+                _make_outgoing(call, movable, caller_answer),
                 math.inf,
                 call.end_s,
                 lambda: context.placement_state.may_send(
--- a/src/sycamorespool/requests/call_attempts.py
+++ b/src/sycamorespool/requests/call_attempts.py
@@ -84,6 +84,12 @@
         When the last byte for it came, or when it was sent.
     traits : tuple of str
         The parts of its prompt, and its identity.
+    prompt_tokens : int
+        Tokens of its prompt, 0 if they are not known.
+    rank : int
+        Its rank at a model engine, 0 for the first.
+    is_postponed : bool
+        Whether it goes behind those of its priority there.
     is_waiting : bool
         Whether it waits for the server.  While it waits for the caller to
         read, part of an event may be on its way, so it cannot be moved.
@@ -103,6 +109,9 @@
     silence_s: float
     silent_since_s: float
     traits: fatal_traits.Traits = ()
+    prompt_tokens: int = 0
+    rank: int = 0
+    is_postponed: bool = False
     is_waiting: bool = True
     has_begun: bool = False
     is_replaced: bool = False
--- a/src/sycamorespool/requests/caller_request.py
+++ b/src/sycamorespool/requests/caller_request.py
@@ -28,6 +28,9 @@
     prompt_parts : tuple of str
         Ids of the parts of the prompt in order; requests may share parts,
         except for the last one, which is the request's own.
+    prompt_tokens, answer_tokens : int
+        Tokens of the prompt and expected tokens of the answer; 0 if the
+        caller does not tell.
     headers : dict
         Headers to pass on, by lower-case name, as
         ``http_client.join_headers`` returns them.
@@ -45,3 +48,5 @@
     prompt_parts: tuple[str, ...]
     headers: dict[str, str]
     body: bytes
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -1,7 +1,10 @@
 """Matches a caller's request to its route, workspace and service."""
 
+from collections import abc
 import dataclasses
+import functools
 
+from sycamorespool.decisions import engine_load
 from sycamorespool.decisions import fatal_traits
 from sycamorespool.decisions import placement
 from sycamorespool import entry_context
@@ -14,6 +17,22 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineWork:
+    """Holds what a call asks of the engines of its model.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that a server of the model runs at once.
+    """
+
+    times: routing_table.EngineTimes
+    model: routing_table.Model
+    slots: int
+    work: engine_load.Work
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """Holds a caller's request with its route, workspace and service.
@@ -31,6 +50,8 @@
         the prompt in order, and the request's identity.
     passed_on : PassedOn, optional
         What another entry told that passed it on; None from a caller.
+    engine_work : EngineWork, optional
+        What it asks of model engines; None if their times are not used.
     """
 
     request: caller_request.CallerRequest
@@ -42,6 +63,25 @@
     end_s: float
     traits: fatal_traits.Traits = ()
     passed_on: headers.PassedOn | None = None
+    engine_work: EngineWork | None = None
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the length of the prompt, 0 if it is of no use."""
+        return self.engine_work.work.prompt_tokens if self.engine_work else 0
+
+    def choose_rank(self, load: engine_load.ServerLoad, now_s: float) -> int:
+        """Return the rank of the request at a server, 0 for the first."""
+        if self.engine_work is None:
+            return self.priority
+        found = self.engine_work
+        expected_s = now_s - self.arrived_s
+        expected_s += engine_load.predict_wait_s(
+            found.times, found.model, found.slots, load
+        )
+        return engine_load.choose_rank(
+            self.priority, expected_s, self.route.objective_s
+        )
 
     @property
     def is_stream(self) -> bool:
@@ -72,6 +112,21 @@
             self.request.model,
             _combine_regions(self.route.regions, own),
             excluded,
+            self._make_cost(),
+        )
+
+    def _make_cost(
+        self,
+    ) -> abc.Callable[[engine_load.ServerLoad], float] | None:
+        found = self.engine_work
+        if found is None:
+            return None
+        return functools.partial(
+            engine_load.predict_cost_s,
+            found.times,
+            found.model,
+            found.slots,
+            found.work,
         )
 
 
@@ -84,12 +139,19 @@
     return frozenset.intersection(*given) if given else None
 
 
-def find_call(
-    context: entry_context.EntryContext,
-    request: caller_request.CallerRequest,
-    now_s: float,
-) -> Call:
-    """Match a request to its route, workspace and service.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Match:
+    """Holds what one version of the configuration says of a request."""
+
+    table: routing_table.RoutingTable
+    route: routing_table.Route
+    workspace: routing_table.Workspace | None
+
+
+def match(
+    context: entry_context.EntryContext, request: caller_request.CallerRequest
+) -> Match:
+    """Match a request, whose body need not be read, to route and workspace.
 
     Raises
     ------
@@ -118,14 +180,53 @@
         workspace = table.find_workspace(request.key)
         if workspace is None:
             raise exceptions.NotRun("unknown_key", "unknown API key", 401)
+    return Match(table, route, workspace)
+
+
+def find_call(
+    context: entry_context.EntryContext,
+    request: caller_request.CallerRequest,
+    now_s: float,
+) -> Call:
+    """Match a request to its route, workspace and service.
+
+    Raises
+    ------
+    NotRun
+        Under the conditions of :func:`match`.
+    """
+    found = match(context, request)
+    route = found.route
+    service = route.choose_service(context.random.random())
     wait_s = min(request.deadline_s, route.timeout_s)
+    engine_work = None
+    if context.settings.balancing.by_engine_times:
+        engine_work = _find_engine_work(found.table, service, request)
     return Call(
         request,
         route,
-        workspace,
-        route.choose_service(context.random.random()),
-        table.version,
+        found.workspace,
+        service,
+        found.table.version,
         now_s,
         now_s + wait_s,
         (*request.prompt_parts, request_identity.identify(request)),
+        engine_work=engine_work,
+    )
+
+
+def _find_engine_work(
+    table: routing_table.RoutingTable,
+    service_name: str,
+    request: caller_request.CallerRequest,
+) -> EngineWork | None:
+    """Return what a request asks of model engines, None if unknown."""
+    service = table.services.get(service_name)
+    engine = service.engine if service else None
+    model = engine.find_model(request.model) if engine else None
+    if model is None or engine.times is None:
+        return None
+    work = engine_load.complete_work(
+        engine.times, request.prompt_tokens, request.answer_tokens
     )
+    return EngineWork(engine.times, model, engine.slots, work)
--- a/src/sycamorespool/requests/hosted_callers.py
+++ b/src/sycamorespool/requests/hosted_callers.py
@@ -17,9 +17,6 @@
 from sycamorespool.requests import forwarding
 from sycamorespool.requests import relay
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
-BODY_TIMEOUT_S = 10.0
-
 log = logs.make_logger("requests")
 
 
@@ -58,7 +55,7 @@
     ) -> None:
         context = self._context
         arrived_s = trio.current_time()
-        target = asgi.make_request(scope).target
+        target = asgi.find_target(scope)
         events = event_ids.EventIdTracker()
         caller_answer = relay.Relay(
             send,
@@ -68,12 +65,15 @@
             headers.select_peer_headers
             if self._serves_peers
             else headers.select_answer_headers,
+            scope["extensions"][asgi.MAY_HOLD]["may_hold"],
         )
         request = headers.decode_request(
             scope["method"], target, scope["headers"], b""
         )
         try:
-            body = await _read_body(receive)
+            # What is refused is not read into memory.
+            calls.match(context, request)
+            body = await self._read_body(scope, receive)
             request = dataclasses.replace(request, body=body)
             call = calls.find_call(context, request, arrived_s)
             if self._serves_peers:
@@ -95,6 +95,25 @@
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
             await self._refuse(error, request, caller_answer, arrived_s)
 
+    async def _read_body(
+        self, scope: asgi.Scope, receive: asgi.Receive
+    ) -> bytes:
+        limits = self._context.find_limits()
+        limit_bytes = limits.max_body_bytes
+        try:
+            if asgi.find_length(scope) > limit_bytes:
+                raise asgi.BodyTooLarge
+            with trio.fail_after(limits.body_timeout_s):
+                return await asgi.read_body(receive, limit_bytes)
+        except asgi.BodyTooLarge as error:
+            raise exceptions.NotRun(
+                "body_too_large", f"the limit is {limit_bytes} bytes", 413
+            ) from error
+        except trio.TooSlowError as error:
+            raise exceptions.NotRun(
+                "body_timeout", "the request body did not arrive in time", 408
+            ) from error
+
     def _accept_passed_on(
         self, call: calls.Call, scope: asgi.Scope
     ) -> calls.Call:
@@ -192,17 +211,3 @@
             caller_answer.chunks,
             *labels,
         )
-
-
-async def _read_body(receive: asgi.Receive) -> bytes:
-    try:
-        with trio.fail_after(BODY_TIMEOUT_S):
-            return await asgi.read_body(receive, MAX_BODY_BYTES)
-    except asgi.BodyTooLarge as error:
-        raise exceptions.NotRun(
-            "body_too_large", "the request body is too large", 413
-        ) from error
-    except trio.TooSlowError as error:
-        raise exceptions.NotRun(
-            "body_timeout", "the request body did not arrive in time", 408
-        ) from error
--- a/src/sycamorespool/requests/relay.py
+++ b/src/sycamorespool/requests/relay.py
@@ -46,6 +46,9 @@
     select_headers : callable
         Returns those headers of a backend server's answer that the caller
         gets; by default none.
+    may_hold : callable
+        Accounts for a part of an answer that is held before any of it is
+        sent; tells whether there is room.
 
     Attributes
     ----------
@@ -71,6 +74,7 @@
         select_headers: abc.Callable[
             [abc.Mapping[str, str]], dict[str, str]
         ] = _select_no_headers,
+        may_hold: abc.Callable[[float], bool] = lambda size_bytes: True,
     ) -> None:
         self.events: event_counts.EventTracker = (
             event_counts.EventCounter() if events is None else events
@@ -85,6 +89,7 @@
         self.request_id = request_id
         self._send = send
         self._select_headers = select_headers
+        self._may_hold = may_hold
         self._headers = (
             {REQUEST_ID_HEADER: request_id} if headers is None else headers
         )
@@ -170,7 +175,8 @@
     ) -> None:
         """Relay an answer that is not a stream, as a whole or not at all.
 
-        Only an answer over ``MAX_BUFFERED_BYTES`` is relayed while it arrives.
+        Only an answer over ``MAX_BUFFERED_BYTES``, or one for which there is
+        no room, is relayed while it arrives.
 
         Raises
         ------
@@ -178,16 +184,16 @@
             If the answer breaks off, or has to be JSON and is not.
         """
         content_type = answer.headers.get("content-type", asgi.JSON_TYPE)
-        parts: list[bytes] = []
-        size = 0
+        held = bytearray()
+        is_held = True
         while chunk := await answer.read():
-            parts.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                held = b"".join(parts)
-                await self._send_part(answer, content_type, held, True)
-                parts.clear()
-        body = b"".join(parts)
+            held += chunk
+            is_held = is_held and self._may_hold(len(chunk))
+            if not is_held or len(held) > MAX_BUFFERED_BYTES:
+                is_held = False
+                body, held = bytes(held), bytearray()
+                await self._send_part(answer, content_type, body, True)
+        body, held = bytes(held), bytearray()
         if is_json and not self.is_started:
             _check_json(body)
         await self._send_part(answer, content_type, body, False)
--- a/src/sycamorespool/routing_table.py
+++ b/src/sycamorespool/routing_table.py
@@ -43,6 +43,36 @@
     warm_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineTimes:
+    """Holds the published times of a model engine.
+
+    Parameters
+    ----------
+    step_s, per_request_s : float
+        Time of one token of all answers, and what each request adds to it.
+    read_tokens_per_s : float
+        Tokens of prompts that are read in a second.
+    per_pair_s : float
+        Further time to read, for each pair of a token and one before it.
+    chunk_tokens : int
+        Tokens of prompts that are read at once, before answers go on.
+    stride_steps : int
+        Tokens of each answer between two of these pieces.
+    usual_prompt_tokens, usual_answer_tokens : int
+        Mean lengths.
+    """
+
+    step_s: float
+    per_request_s: float
+    read_tokens_per_s: float
+    per_pair_s: float
+    chunk_tokens: int
+    stride_steps: int
+    usual_prompt_tokens: int
+    usual_answer_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
     """Holds the published figures of a service's model engines.
@@ -55,12 +85,15 @@
         Loads from the weight store that the fleet may begin in a second.
     form_s : float
         Time from the order to open until a group serves.
+    times : EngineTimes or None
+        Times of the engines; None if they are not published.
     """
 
     slots: int
     models: tuple[Model, ...]
     loads_per_s: float
     form_s: float
+    times: EngineTimes | None = None
 
     def find_model(self, name: str) -> Model | None:
         """Return a model by its name, None if there is none."""
@@ -170,6 +203,15 @@
     regions: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Holds the operators' limits of requests; 0 for one that is not given."""
+
+    max_head_bytes: int = 0
+    max_body_bytes: int = 0
+    head_timeout_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutingTable:
     """Holds one version of the configuration.
@@ -183,6 +225,8 @@
     has_workspaces : bool
         Whether the configuration has workspaces at all; if not, no request
         needs an API key.
+    limits : RequestLimits
+        Limits of callers' requests.
     """
 
     version: int
@@ -190,6 +234,7 @@
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
     has_workspaces: bool = True
+    limits: RequestLimits = RequestLimits()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, None if none."""
--- a/src/sycamorespool/settings.py
+++ b/src/sycamorespool/settings.py
@@ -57,6 +57,13 @@
     int,
     msgspec.Meta(gt=0, description="a whole number of bytes, as 1048576"),
 ]
+Megabytes: t.TypeAlias = t.Annotated[
+    float, msgspec.Meta(ge=0.0, description="a number of MiB, as 200")
+]
+Limit: t.TypeAlias = t.Annotated[
+    int,
+    msgspec.Meta(ge=0, description="a whole number, or 0 for the default"),
+]
 Count: t.TypeAlias = t.Annotated[
     int,
     msgspec.Meta(ge=1, le=1024, description="a whole number from 1 to 1024"),
@@ -154,6 +161,14 @@
         Largest head and body of a caller's request.
     drain_timeout_s : float
         Longest wait for open requests during shutdown.
+    memory_mb : float
+        Memory of the machine in MiB; 0 if it is not known.
+    held_mb : float
+        Most MiB held for callers; 0 for a part of ``memory_mb``.
+    max_descriptors : int
+        File descriptors that the process may open; 0 for the kernel's limit.
+    max_connections : int
+        Connections of callers; 0 for what the descriptors allow.
     """
 
     queue_timeout_s: Seconds = 5.0
@@ -165,6 +180,10 @@
     max_head_bytes: Bytes = 32 * 1024
     max_body_bytes: Bytes = 1024 * 1024
     drain_timeout_s: Seconds = 30.0
+    memory_mb: Megabytes = 0.0
+    held_mb: Megabytes = 0.0
+    max_descriptors: Limit = 0
+    max_connections: Limit = 0
 
 
 class KeysSection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -59,12 +59,23 @@
         OSError
             If the connection is broken.
         """
-        sent = self._try_send(data)
+        sent = self.send_now(data)
         while sent < len(data):
-            await trio.lowlevel.wait_writable(self._socket)
-            sent += self._try_send(memoryview(data)[sent:])
+            await self.wait_writable()
+            sent += self.send_now(memoryview(data)[sent:])
 
-    def _try_send(self, data: bytes | memoryview) -> int:
+    async def wait_writable(self) -> None:
+        """Wait until the send buffer has room."""
+        await trio.lowlevel.wait_writable(self._socket)
+
+    def send_now(self, data: bytes | memoryview) -> int:
+        """Send what the send buffer has room for; return its length.
+
+        Raises
+        ------
+        OSError
+            If the connection is broken.
+        """
         try:
             return self._socket.send(data)
         except BlockingIOError:
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -44,6 +44,8 @@
         "entry": node_settings.EntrySection,
         "listen": node_settings.ListenSection,
         "platform": node_settings.PlatformSection,
+        "limits": node_settings.LimitsSection,
+        "balancing": node_settings.BalancingSection,
         "bounds": node_settings.BoundsSection,
     }
     text = re.sub(r"{{[#/^][^}]*}}", "", TEMPLATE.read_text())
