Place requests by engine times and the load of all entries; models by demand

On the grown deployments a server got up to 14 times the mean: each of 31 to 65 entries counted its own requests, a long prompt like a short one. Beyond the room there was, first come, first served, nearly all answers were late, and VMs followed the configuration's shares, not what callers asked for.

Placement predicts the delay that a request meets and causes, passes over servers far above the mean of the fleet, and gives a request that is expected to be late a rank behind others at the engine. Entries exchange their load by the entry that reads the store for their data centre. New groups follow the measured demand. The callers' socket listens before the libraries are loaded.

--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 import re
+import socket
 import urllib.parse
 
 from absl import logging
@@ -289,6 +290,7 @@
     is_leaving: abc.Callable[[], bool] = lambda: False,
     find_limits: abc.Callable[[], settings.LimitsSection] | None = None,
     shared: clients.Clients | None = None,
+    listening: abc.Mapping[str, socket.socket] | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application at ``IP:port`` until ``stop`` is set.
@@ -306,6 +308,8 @@
     shared : Clients, optional
         The connections of all listeners that share one bound; by default
         those of this listener.
+    listening : mapping, optional
+        Sockets that listen already, by address.
     """
     server = _Server(
         app,
@@ -313,7 +317,7 @@
         shared or clients.Clients(limits),
         is_leaving=is_leaving,
     )
-    listener = sockets.Listener(address)
+    listener = sockets.Listener(address, (listening or {}).get(address))
     async with trio.open_nursery() as nursery:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(_accept, server, listener, nursery)
--- a/src/sycamorespool/decisions/engine_load.py
+++ b/src/sycamorespool/decisions/engine_load.py
@@ -48,7 +48,7 @@
     postponed : float
         Those of them that wait there behind all others.
     unread : int
-        Requests whose prompts are not read yet.
+        Requests whose prompts are not read yet, without postponed ones.
     unread_tokens : int
         Tokens of these prompts.
     """
@@ -167,7 +167,7 @@
     Parameters
     ----------
     expected_s : float
-        Time from its arrival until a slot is expected to be free for it.
+        Time from its arrival until its answer is expected to begin.
     """
     is_late = bool(objective_s) and expected_s > objective_s
     return priority + LATE_RANKS if is_late else priority
--- a/src/sycamorespool/decisions/fleet_load.py
+++ b/src/sycamorespool/decisions/fleet_load.py
@@ -54,6 +54,22 @@
     demand: abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class DemandMeter:
+    """Measures the work that callers ask this entry for, by model.
+
+    Parameters
+    ----------
+    rates : dict
+        Busy servers that the work would take, by service and model.
+    updated_s : float
+        Time to which the rates have been averaged.
+    """
+
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    updated_s: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class FleetLoad:
     """Holds the newest reports of other entries, by the name of the sender.
@@ -62,11 +78,18 @@
     ----------
     reports : dict
         Reports with the time at which they arrived.
+    meter : DemandMeter
+        The work that callers ask this entry for.
+    demand : mapping
+        The work that callers ask the other entries for, in busy servers, by
+        service and model; empty if it is not known.
     """
 
     reports: dict[str, tuple[LoadReport, float]] = dataclasses.field(
         default_factory=dict
     )
+    meter: DemandMeter = dataclasses.field(default_factory=DemandMeter)
+    demand: abc.Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 def note_report(
@@ -115,22 +138,6 @@
     return LoadReport(requests, demand)
 
 
-@dataclasses.dataclass(slots=True)
-class DemandMeter:
-    """Measures the work that callers ask this entry for, by model.
-
-    Parameters
-    ----------
-    rates : dict
-        Busy servers that the work would take, by service and model.
-    updated_s : float
-        Time to which the rates have been averaged.
-    """
-
-    rates: dict[str, float] = dataclasses.field(default_factory=dict)
-    updated_s: float = 0.0
-
-
 def _decay(meter: DemandMeter, now_s: float) -> None:
     left = max(0.0, 1.0 - (now_s - meter.updated_s) / DEMAND_WINDOW_S)
     meter.updated_s = now_s
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placement.py
@@ -12,8 +12,9 @@
 
 Where the engine's times are published, the load is the delay that the request
 would meet and cause.  If the entry knows what the others have at the servers,
-it takes the better of two at random: what it knows is some hundred ms old, and
-all entries would choose the same best one.
+it passes over those with far more than the mean.  It does not take the one
+with the least: what it knows is some hundred ms old, and all entries would
+choose the same one.
 
 A group becomes suspect when none of its streams makes progress, even before
 its owner has detected the failure.  It then gets no request while another
@@ -23,7 +24,6 @@
 import collections
 from collections import abc
 import dataclasses
-import itertools
 import math
 
 from sycamorespool import backends
@@ -42,8 +42,13 @@
 # at most after several refusals in a row.
 REFUSED_BLOCK_S = 0.15
 MAX_REFUSED_BLOCK_S = 0.6
-# Servers of which the best is chosen if the load of the fleet is known.
-CHOICES = 2
+# Requests at a server, of all entries, above which it is passed over: a
+# multiple of the mean, and some more while there are few.
+LOAD_BOUND = 1.25
+LOAD_SLACK = 1.0
+# Ranks a server with more requests behind every one with fewer, but before a
+# suspect one.
+OVERLOAD_PENALTY = 100.0
 NO_REQUESTS = fleet_load.Requests()
 # Servers whose leaving is remembered; the oldest are forgotten first.
 MAX_LEAVING = 4096
@@ -101,17 +106,27 @@
 
     def find_load(self, backend_id: str) -> engine_load.ServerLoad:
         """Return what a server has to do, as far as it is known."""
+        load = self.find_own_load(backend_id)
         others = self.others.get(backend_id, NO_REQUESTS)
-        load = engine_load.ServerLoad(others.running, others.postponed)
+        load.requests += others.running
+        load.postponed += others.postponed
+        return load
+
+    def find_own_load(self, backend_id: str) -> engine_load.ServerLoad:
+        """Return what a server has to do for this entry."""
+        load = engine_load.ServerLoad()
         activity = self.activities.get(backend_id)
         if activity is None:
             return load
         load.requests += activity.in_flight
         for attempt in activity.running:
-            if not attempt.has_begun:
+            if attempt.has_begun:
+                continue
+            if attempt.is_postponed:
+                load.postponed += 1
+            else:
                 load.unread += 1
                 load.unread_tokens += attempt.prompt_tokens
-                load.postponed += attempt.is_postponed
         return load
 
     def note_notice(
@@ -308,30 +323,38 @@
     if not usable:
         return None
 
-    def is_suspect(backend: backends.Backend) -> bool:
-        activity = placement.activities.get(backend.backend_id)
-        mean_ttfb_s = placement.find_mean_ttfb_s(backend)
-        return activity is not None and server_activity.is_suspect(
-            activity, mean_ttfb_s, now_s
-        )
+    bound = _find_load_bound(placement, usable)
 
     def compute_load(backend: backends.Backend) -> float:
+        backend_id = backend.backend_id
         if request.predict_cost_s is not None:
-            found = placement.find_load(backend.backend_id)
-            load = request.predict_cost_s(found)
+            own = placement.find_own_load(backend_id)
+            load = request.predict_cost_s(own)
+            if placement.find_load(backend_id).requests > bound:
+                load += OVERLOAD_PENALTY
         else:
             load = _count_load(placement, backend)
-        return load + SUSPECT_PENALTY if is_suspect(backend) else load
+        activity = placement.activities.get(backend_id)
+        mean_ttfb_s = placement.find_mean_ttfb_s(backend)
+        if activity and server_activity.is_suspect(
+            activity, mean_ttfb_s, now_s
+        ):
+            load += SUSPECT_PENALTY
+        return load
+
+    start = int(tie_breaker * len(usable))
+    ranked = sorted(usable[start:] + usable[:start], key=compute_load)
+    return next((b for b in ranked if may_take(b)), None)
+
 
-    ordered = _rotate(usable, tie_breaker)
-    if request.predict_cost_s is None or not placement.others:
-        ranked = sorted(ordered, key=compute_load)
-        return next((b for b in ranked if may_take(b)), None)
-    sound = [b for b in ordered if not is_suspect(b)]
-    suspect = [b for b in ordered if is_suspect(b)]
-    takers = (b for b in [*sound, *suspect] if may_take(b))
-    chosen = list(itertools.islice(takers, CHOICES))
-    return min(chosen, key=compute_load, default=None)
+def _find_load_bound(
+    placement: PlacementState, usable: list[backends.Backend]
+) -> float:
+    """Return the requests above which a server is passed over."""
+    if not placement.others:
+        return math.inf
+    total = sum(placement.find_load(b.backend_id).requests for b in usable)
+    return LOAD_BOUND * total / len(usable) + LOAD_SLACK
 
 
 def _count_load(placement: PlacementState, backend: backends.Backend) -> float:
@@ -340,20 +363,6 @@
     return activity.in_flight / max(1, backend.slots) if activity else 0.0
 
 
-def _rotate(
-    usable: list[backends.Backend], tie_breaker: float
-) -> list[backends.Backend]:
-    """Return the servers from a random one on, the second one random too."""
-    count = len(usable)
-    position = tie_breaker * count
-    start = int(position)
-    ordered = usable[start:] + usable[:start]
-    if count > 2:
-        second = 1 + int((position - start) * (count - 1))
-        ordered[1], ordered[second] = ordered[second], ordered[1]
-    return ordered
-
-
 def forget(placement: PlacementState, backend_id: str, now_s: float) -> None:
     """Drop the state of a server that left the registry."""
     placement.blocked_until_s.pop(backend_id, None)
--- a/src/sycamorespool/decisions/store_readers.py
+++ b/src/sycamorespool/decisions/store_readers.py
@@ -89,18 +89,25 @@
     own = directory.entries.get(own_name)
     if own is None or now_s - directory.last_followed_s < FOLLOWED_S:
         return None
+    chosen = find_reader(directory, own.data_centre, now_s)
+    return None if chosen == own_name else chosen
+
+
+def find_reader(
+    directory: EntryDirectory, data_centre: str, now_s: float
+) -> str | None:
+    """Return the name of the entry that reads for a data centre, if any."""
     links_mbps = {
         name: entry.link_mbps
         for name, entry in directory.entries.items()
-        if entry.data_centre == own.data_centre
+        if entry.data_centre == data_centre
         and now_s >= directory.excluded_until_s.get(name, now_s)
     }
     # A reader sends each record to all other entries of its data centre,
     # so its link must not be narrow.
     least_mbps = MIN_LINK_FRACTION * max(links_mbps.values(), default=0.0)
     names = [name for name, mbps in links_mbps.items() if mbps >= least_mbps]
-    chosen = rendezvous.choose(own.data_centre, names)
-    return None if chosen == own_name else chosen
+    return rendezvous.choose(data_centre, names)
 
 
 def exclude(
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -201,7 +201,8 @@
     ):
         return
     service = owner.context.table.services[unit.service]
-    view = _make_view(owner, unit, service.engine)
+    engine = domain_units.find_engine(owner.context, service)
+    view = _make_view(owner, unit, engine)
     choose = functools.partial(
         domain_units.choose_models, owner.context, unit, view
     )
--- a/src/sycamorespool/domain_units.py
+++ b/src/sycamorespool/domain_units.py
@@ -9,9 +9,13 @@
 import dataclasses
 import math
 
+import trio
+
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
+from sycamorespool.decisions import fleet_load
 from sycamorespool.decisions import model_allocation
+from sycamorespool.decisions import model_demand
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
 from sycamorespool import logs
@@ -66,6 +70,27 @@
         return f"{self.service}/{self.domain}"
 
 
+def find_engine(
+    context: entry_context.EntryContext, service: routing_table.Service
+) -> routing_table.Engine | None:
+    """Return a service's engine, whose models have the shares to allocate.
+
+    Where the settings say so, these follow what callers ask for.
+    """
+    engine = service.engine
+    if engine is None or not context.settings.balancing.follow_demand:
+        return engine
+    own = fleet_load.read_demand(context.load.meter, trio.current_time())
+    demand = {}
+    for model in engine.models:
+        name = f"{service.name}/{model.name}"
+        others = context.load.demand.get(name, 0.0)
+        demand[model.name] = own.get(name, 0.0) + others
+        context.metrics.set("model_demand", demand[model.name], name)
+    models = model_demand.follow_demand(engine.models, demand)
+    return dataclasses.replace(engine, models=models)
+
+
 def count_loads_left(
     context: entry_context.EntryContext,
     unit: Unit,
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -16,7 +16,6 @@
 import time
 
 import httpcore
-import msgspec
 import trio
 
 from sycamorespool import address_pools
@@ -25,6 +24,7 @@
 from sycamorespool import backends
 from sycamorespool.decisions import cold_limits
 from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions import fleet_load
 from sycamorespool.decisions import limited_turns
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import reachability
@@ -41,7 +41,6 @@
 from sycamorespool.platform import store
 from sycamorespool.requests import cut_requests
 from sycamorespool import routing_table
-from sycamorespool import settings
 from sycamorespool.store import record_cache
 
 # A configuration is trusted for this fraction of ``bounds.revoke_ms``, the
@@ -59,8 +58,6 @@
 # partition.
 SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
 
-NO_LIMITS = routing_table.RequestLimits()
-
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
 
@@ -88,6 +85,8 @@
         :func:`boot_time_s`, which counts the time of suspensions too.
     has_registry : bool
         Whether the registry of the backend servers was read.
+    state_read : trio.Event
+        Set once a configuration and the registry were read.
     entry_directory : EntryDirectory
         The other entries.
     directory_read : trio.Event
@@ -123,6 +122,8 @@
         The requests and parts of prompts on which servers end.
     cut_requests : CutRequests
         Requests at servers that may have ended.
+    load : FleetLoad
+        What other entries have at the servers, and what callers ask for.
     owns_domains : bool
         Whether this entry forms the groups of any fabric domain.
     requests_open : int
@@ -140,6 +141,7 @@
     table: routing_table.RoutingTable | None = None
     config_read_s: float = -math.inf
     has_registry: bool = False
+    state_read: trio.Event = dataclasses.field(default_factory=trio.Event)
     entry_directory: store_readers.EntryDirectory = dataclasses.field(
         default_factory=store_readers.EntryDirectory
     )
@@ -178,6 +180,9 @@
     metrics: "metrics.Metrics" = dataclasses.field(
         default_factory=metrics.Metrics
     )
+    load: fleet_load.FleetLoad = dataclasses.field(
+        default_factory=fleet_load.FleetLoad
+    )
     owns_domains: bool = False
     is_stopping: bool = False
     requests_open: int = 0
@@ -193,6 +198,11 @@
         """Return the registry of the backend servers."""
         return self.placement_state.registry
 
+    def note_state_read(self) -> None:
+        """Record that a configuration, or the registry, was read."""
+        if self.table is not None and self.has_registry:
+            self.state_read.set()
+
     def is_config_trusted(self) -> bool:
         """Tell whether the configuration was read recently enough."""
         trusted_s = self.settings.bounds.revoke_ms / 1000 * TRUSTED_FRACTION
@@ -203,23 +213,6 @@
         has_state = self.table is not None and self.has_registry
         return has_state and not self.is_stopping and self.is_config_trusted()
 
-    def find_limits(self) -> settings.LimitsSection:
-        """Return the limits of callers that are in force.
-
-        The operators' configuration replaces those of the settings, but a
-        head that the settings allow is not refused.
-        """
-        limits = self.settings.limits
-        if self.table is None or self.table.limits == NO_LIMITS:
-            return limits
-        given = self.table.limits
-        return msgspec.structs.replace(
-            limits,
-            max_head_bytes=max(limits.max_head_bytes, given.max_head_bytes),
-            max_body_bytes=given.max_body_bytes or limits.max_body_bytes,
-            head_timeout_s=max(limits.head_timeout_s, given.head_timeout_s),
-        )
-
     def record_cache_of(self, topic: str) -> "record_cache.RecordCache":
         """Return the record cache of a topic, made at first use."""
         return self.record_caches.setdefault(topic, record_cache.RecordCache())
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -4,6 +4,7 @@
 import functools
 import pathlib
 import signal
+import socket
 import typing as t
 
 from absl import logging
@@ -19,11 +20,13 @@
 from sycamorespool import metrics_page
 from sycamorespool import node_settings
 from sycamorespool import partition_share
+from sycamorespool.peers import load_exchange
 from sycamorespool.peers import peer_calls
 from sycamorespool.peers import peer_probes
 from sycamorespool.peers import peer_reads
 from sycamorespool.peers import reach_watch
 from sycamorespool.platform import headers
+from sycamorespool import request_limits
 from sycamorespool.requests import hosted_callers
 from sycamorespool import stall_detection
 from sycamorespool.store import config_follower
@@ -39,6 +42,7 @@
 SETTINGS_CHECK_PERIOD_S = 1.0
 # Pause before a task that failed is run again.
 RESTART_PAUSE_S = 1.0
+NOT_LISTENING: abc.Mapping[str, socket.socket] = {}
 
 log = logs.make_logger("entry")
 
@@ -160,6 +164,7 @@
     context: entry_context.EntryContext,
     stop: trio.Event,
     shared: clients.Clients,
+    listening: abc.Mapping[str, socket.socket],
 ) -> None:
     """Serve callers and other entries until a stop, and its grace, end."""
     listen = context.settings.listen
@@ -168,6 +173,7 @@
         {
             peer_reads.PATH: peer_reads.make_app(context),
             peer_probes.PATH: peer_probes.make_app(context),
+            load_exchange.PATH: load_exchange.make_app(context),
         },
     )
     serve = functools.partial(
@@ -176,8 +182,9 @@
         stop=stop,
         grace_s=max(0.0, _find_grace_s(context) - BALANCER_DELAY_S),
         is_leaving=lambda: context.is_stopping,
-        find_limits=context.find_limits,
+        find_limits=functools.partial(request_limits.find, context),
         shared=shared,
+        listening=listening,
     )
     async with trio.open_nursery() as nursery:
         for app, address in (
@@ -187,9 +194,16 @@
             nursery.start_soon(serve, app, address)
 
 
-async def run(path: str) -> None:
+async def run(
+    path: str, listening: abc.Mapping[str, socket.socket] = NOT_LISTENING
+) -> None:
     """Run an entry with the settings of a file until a signal stops it.
 
+    Parameters
+    ----------
+    listening : mapping
+        Sockets that listen already, by address.
+
     Raises
     ------
     SettingsError
@@ -216,6 +230,7 @@
         start_kept(stall_detection.watch, context)
         start_kept(server_ends.run, context)
         start_kept(reach_watch.run, context)
+        start_kept(load_exchange.run, context)
         for app, address in (
             (_make_readiness_app(context), loaded.listen.readiness),
             (metrics_page.make_app(context), loaded.listen.metrics),
@@ -229,7 +244,7 @@
             incarnation=context.incarnation,
             count=loaded.platform.partitions,
         )
-        await _serve_requests(context, stop, shared)
+        await _serve_requests(context, stop, shared, listening)
         log.info("stopped", open=context.requests_open)
         nursery.cancel_scope.cancel()
     log.info("ended", name=context.name)
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -43,6 +43,24 @@
         _REQUEST_LABELS,
         "Whole answers given to callers.",
     ),
+    "model_demand": Metric(
+        "gauge",
+        "groups",
+        ("model",),
+        "Work that callers of all entries ask of a model, in busy groups.",
+    ),
+    "fleet_requests": Metric(
+        "gauge",
+        "requests",
+        (),
+        "Requests of the other entries at backend servers, as they report.",
+    ),
+    "load_reports_failed": Metric(
+        "counter",
+        "reports",
+        (),
+        "Reports of the load that another entry did not take.",
+    ),
     "clients_closed": Metric(
         "counter",
         "connections",
--- a/src/sycamorespool/platform/start.py
+++ b/src/sycamorespool/platform/start.py
@@ -8,21 +8,25 @@
 # arrives meanwhile does not end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from sycamorespool import early_listening  # noqa: E402
+
+SETTINGS_VARIABLE = "SYCAMORESPOOL_NODE_FILE"
+settings_path = os.environ.get(SETTINGS_VARIABLE, "")
+listening = early_listening.listen_for_callers(settings_path)
+
 import trio  # noqa: E402
 
 from sycamorespool import exceptions  # noqa: E402
 from sycamorespool import hosted  # noqa: E402
 from sycamorespool import logs  # noqa: E402
 
-SETTINGS_VARIABLE = "SYCAMORESPOOL_NODE_FILE"
-
 
 def main() -> int:
     """Run an entry until a signal stops it; return the exit code."""
     logs.set_up_stdout()
     log = logs.make_logger("entry")
     try:
-        trio.run(hosted.run, os.environ.get(SETTINGS_VARIABLE, ""))
+        trio.run(hosted.run, settings_path, listening)
     except exceptions.SettingsError as error:
         log.error("not started, settings not valid", error=error)
         return 2
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -76,8 +76,8 @@
             return self.priority
         found = self.engine_work
         expected_s = now_s - self.arrived_s
-        expected_s += engine_load.predict_wait_s(
-            found.times, found.model, found.slots, load
+        expected_s += engine_load.predict_first_token_s(
+            found.times, found.model, found.slots, load, found.work
         )
         return engine_load.choose_rank(
             self.priority, expected_s, self.route.objective_s
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -14,6 +14,8 @@
 from sycamorespool import asgi
 from sycamorespool import backends
 from sycamorespool.decisions import end_causes
+from sycamorespool.decisions import engine_load
+from sycamorespool.decisions import fleet_load
 from sycamorespool.decisions import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
@@ -50,6 +52,7 @@
     else:
         ratio = context.settings.bounds.retry_ratio * RETRY_RATIO_FRACTION
         retries.count_request(budget, ratio, call.arrived_s)
+        _note_demand(context, call)
     state = retries.CallTries(
         call.route.is_repeatable,
         call.end_s,
@@ -58,6 +61,20 @@
     return call_attempts.Tries(state, budget)
 
 
+def _note_demand(
+    context: entry_context.EntryContext, call: calls.Call
+) -> None:
+    """Count the work that a call asks of the servers of its model."""
+    found = call.engine_work
+    if found is None:
+        return
+    busy_s = engine_load.find_busy_s(
+        found.times, found.model, found.slots, found.work
+    )
+    name = f"{call.service}/{found.model.name}"
+    fleet_load.note_asked(context.load.meter, name, busy_s, call.arrived_s)
+
+
 def _check_traits(
     context: entry_context.EntryContext,
     call: calls.Call,
--- a/src/sycamorespool/requests/hosted_callers.py
+++ b/src/sycamorespool/requests/hosted_callers.py
@@ -11,12 +11,17 @@
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
 from sycamorespool.platform import headers
+from sycamorespool import request_limits
 from sycamorespool.requests import caller_request
 from sycamorespool.requests import calls
 from sycamorespool.requests import event_ids
 from sycamorespool.requests import forwarding
 from sycamorespool.requests import relay
 
+# A process that starts reads its state in far less than this, unless the store
+# is down; then other entries may serve the request.
+STATE_WAIT_S = 0.5
+
 log = logs.make_logger("requests")
 
 
@@ -71,6 +76,7 @@
             scope["method"], target, scope["headers"], b""
         )
         try:
+            await self._wait_for_state()
             # What is refused is not read into memory.
             calls.match(context, request)
             body = await self._read_body(scope, receive)
@@ -95,10 +101,16 @@
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
             await self._refuse(error, request, caller_answer, arrived_s)
 
+    async def _wait_for_state(self) -> None:
+        """Wait a moment for what a process that has just started reads."""
+        if not self._context.state_read.is_set():
+            with trio.move_on_after(STATE_WAIT_S):
+                await self._context.state_read.wait()
+
     async def _read_body(
         self, scope: asgi.Scope, receive: asgi.Receive
     ) -> bytes:
-        limits = self._context.find_limits()
+        limits = request_limits.find(self._context)
         limit_bytes = limits.max_body_bytes
         try:
             if asgi.find_length(scope) > limit_bytes:
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -16,8 +16,9 @@
 
 import trio
 
+from sycamorespool import early_listening
+
 READ_BYTES = 64 * 1024
-BACKLOG = 1024
 MAX_PORT = 65535
 # Pause of a listener after a lack of file descriptors or memory.
 ACCEPT_PAUSE_S = 0.1
@@ -110,22 +111,13 @@
 def is_address(address: str) -> bool:
     """Tell whether a text is an ``IP:port`` to which one can connect."""
     try:
-        family, (host, port) = _parse_address(address)
+        family, (host, port) = early_listening.parse_address(address)
         socket.inet_pton(family, host)
     except (OSError, ValueError):
         return False
     return 0 < port <= MAX_PORT and _format_address(host, port) == address
 
 
-def _parse_address(
-    address: str,
-) -> tuple[socket.AddressFamily, tuple[str, int]]:
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return family, (host, int(port))
-
-
 def _format_address(host: str, port: int) -> str:
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
@@ -138,7 +130,7 @@
     OSError
         If no connection can be established.
     """
-    family, target = _parse_address(address)
+    family, target = early_listening.parse_address(address)
     connection = Connection(socket.socket(family, socket.SOCK_STREAM))
     raw_socket = connection._socket
     try:
@@ -170,19 +162,21 @@
 class Listener:
     """Listens on an ``IP:port`` for connections.
 
+    Parameters
+    ----------
+    bound : socket.socket, optional
+        A socket that listens there already.
+
     Raises
     ------
     OSError
         If the address cannot be bound.
     """
 
-    def __init__(self, address: str) -> None:
-        family, target = _parse_address(address)
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind(target)
-        self._socket.listen(BACKLOG)
+    def __init__(
+        self, address: str, bound: socket.socket | None = None
+    ) -> None:
+        self._socket = bound or early_listening.listen(address)
 
     @property
     def address(self) -> str:
--- a/src/sycamorespool/store/config_follower.py
+++ b/src/sycamorespool/store/config_follower.py
@@ -65,6 +65,7 @@
     if context.table is not None and table.version <= context.table.version:
         return
     context.table = table
+    context.note_state_read()
     log.info(
         "new configuration in force",
         version=table.version,
--- a/src/sycamorespool/store/registry_follower.py
+++ b/src/sycamorespool/store/registry_follower.py
@@ -90,6 +90,7 @@
     else:
         registry.replace_all(context.registry, entries, now_s)
     context.has_registry = True
+    context.note_state_read()
     log.info(
         "whole registry read", count=len(entries), offset=newest.end.offset
     )
