Give the decisions on placing calls a folder

decisions/ had 50 modules side by side, so that nothing told a newcomer which belong together. Moved with their imports and the pages that name them; no definition changes.

--- /dev/null
+++ b/src/sycamorespool/decisions/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides where a call goes, and when; no I/O."""
--- a/src/sycamorespool/decisions/placement.py
+++ b/src/sycamorespool/decisions/placing/placement.py
@@ -28,10 +28,10 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import engine_load
-from sycamorespool.decisions import fleet_load
+from sycamorespool.decisions.placing import engine_load
+from sycamorespool.decisions.placing import fleet_load
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_activity
 
 # Weight of the newest sample in the moving average of the TTFB.
 TTFB_WEIGHT = 0.05
--- a/src/sycamorespool/decisions/server_limits.py
+++ b/src/sycamorespool/decisions/placing/server_limits.py
@@ -20,8 +20,8 @@
 import math
 import typing as t
 
+from sycamorespool.decisions.placing import share_leases
 from sycamorespool.decisions import rendezvous
-from sycamorespool.decisions import share_leases
 
 Partition: t.TypeAlias = tuple[str, int]
 
--- a/src/sycamorespool/dispatch.py
+++ b/src/sycamorespool/dispatch.py
@@ -16,8 +16,8 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import checks
 from sycamorespool.decisions import isolation
+from sycamorespool.decisions.placing import routing
 from sycamorespool.decisions import retries
-from sycamorespool.decisions import routing
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import invariants
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -21,9 +21,9 @@
 from sycamorespool.decisions import domain_planner
 from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import fencing
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
-from sycamorespool.decisions import server_limits
 from sycamorespool import domain_units
 from sycamorespool import entry_context
 from sycamorespool import exceptions
--- a/src/sycamorespool/domain_units.py
+++ b/src/sycamorespool/domain_units.py
@@ -13,9 +13,9 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import fleet_load
 from sycamorespool.decisions import model_allocation
 from sycamorespool.decisions import model_demand
+from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
 from sycamorespool import logs
--- a/src/sycamorespool/grant_user.py
+++ b/src/sycamorespool/grant_user.py
@@ -12,8 +12,8 @@
 
 from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import pings
+from sycamorespool.decisions.placing import routing
 from sycamorespool.decisions import rendezvous
-from sycamorespool.decisions import routing
 from sycamorespool.entries import messages
 from sycamorespool import environment
 from sycamorespool import exceptions
--- a/src/sycamorespool/grants_held.py
+++ b/src/sycamorespool/grants_held.py
@@ -7,7 +7,7 @@
 import trio
 
 from sycamorespool.decisions import grant_book
-from sycamorespool.decisions import routing
+from sycamorespool.decisions.placing import routing
 from sycamorespool import models
 
 # Places asked for beyond the present demand: a number and a share of it.
--- a/src/sycamorespool/partition_share.py
+++ b/src/sycamorespool/partition_share.py
@@ -11,8 +11,8 @@
 
 import trio
 
-from sycamorespool.decisions import reachability
-from sycamorespool.decisions import server_limits
+from sycamorespool.decisions.placing import reachability
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
--- a/src/sycamorespool/peers/load_exchange.py
+++ b/src/sycamorespool/peers/load_exchange.py
@@ -14,7 +14,7 @@
 import trio
 
 from sycamorespool import asgi
-from sycamorespool.decisions import fleet_load
+from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions import store_readers
 from sycamorespool import decoding
 from sycamorespool import entry_context
--- a/src/sycamorespool/peers/peer_calls.py
+++ b/src/sycamorespool/peers/peer_calls.py
@@ -13,9 +13,9 @@
 
 from sycamorespool import asgi
 from sycamorespool import backends
-from sycamorespool.decisions import peer_choice
-from sycamorespool.decisions import placement
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import peer_choice
+from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import reachability
 from sycamorespool import entry_context
 from sycamorespool.platform import headers
 from sycamorespool.requests import call_attempts
--- a/src/sycamorespool/peers/reach_watch.py
+++ b/src/sycamorespool/peers/reach_watch.py
@@ -12,7 +12,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import reachability
 from sycamorespool import entry_context
 from sycamorespool import logs
 from sycamorespool import sockets
--- a/src/sycamorespool/requests/attempt_results.py
+++ b/src/sycamorespool/requests/attempt_results.py
@@ -9,7 +9,7 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import fatal_traits
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import reachability
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
--- a/src/sycamorespool/requests/attempts.py
+++ b/src/sycamorespool/requests/attempts.py
@@ -19,9 +19,9 @@
 
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
+from sycamorespool.decisions.placing import server_activity
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import retries
-from sycamorespool.decisions import server_activity
-from sycamorespool.decisions import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -4,9 +4,9 @@
 import dataclasses
 import functools
 
-from sycamorespool.decisions import engine_load
 from sycamorespool.decisions import fatal_traits
-from sycamorespool.decisions import placement
+from sycamorespool.decisions.placing import engine_load
+from sycamorespool.decisions.placing import placement
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -14,9 +14,9 @@
 from sycamorespool import asgi
 from sycamorespool import backends
 from sycamorespool.decisions import end_causes
-from sycamorespool.decisions import engine_load
-from sycamorespool.decisions import fleet_load
-from sycamorespool.decisions import placement
+from sycamorespool.decisions.placing import engine_load
+from sycamorespool.decisions.placing import fleet_load
+from sycamorespool.decisions.placing import placement
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
 from sycamorespool import exceptions
--- a/src/sycamorespool/requests/limited_calls.py
+++ b/src/sycamorespool/requests/limited_calls.py
@@ -15,8 +15,8 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import limited_turns
-from sycamorespool.decisions import server_limits
+from sycamorespool.decisions.placing import limited_turns
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import shares
 from sycamorespool import entry_context
 from sycamorespool import exceptions
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -6,7 +6,7 @@
 nothing more once a member of its group is lost, and neither does a server
 that has failed itself; an overloaded server is silent for a while, too.  So
 there are two limits, which depend on the service's usual time to the first
-byte (see :mod:`sycamorespool.decisions.server_activity`):
+byte (see :mod:`sycamorespool.decisions.placing.server_activity`):
 
 - After the shorter one, the members of the server's group are asked for a
   report.  If a member does not answer, the server counts as stalled; if all
@@ -29,9 +29,9 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import reachability
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_activity
 from sycamorespool import entry_context
 from sycamorespool import logs
 from sycamorespool.peers import peer_calls
--- a/src/sycamorespool/store/limit_reports.py
+++ b/src/sycamorespool/store/limit_reports.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from sycamorespool.decisions import server_limits
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool import decoding
 from sycamorespool import entry_context
 from sycamorespool import logs
--- a/tests/decisions/engine_queues.py
+++ b/tests/decisions/engine_queues.py
@@ -12,11 +12,11 @@
 import random
 
 from sycamorespool import backends
-from sycamorespool.decisions import engine_load
-from sycamorespool.decisions import fleet_load
-from sycamorespool.decisions import placement
+from sycamorespool.decisions.placing import engine_load
+from sycamorespool.decisions.placing import fleet_load
+from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_activity
 from sycamorespool import routing_table
 
 TIMES = routing_table.EngineTimes(
--- a/tests/decisions/test_cold_limits.py
+++ b/tests/decisions/test_cold_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import cold_limits
+from sycamorespool.decisions.placing import cold_limits
 
 
 @pytest.mark.parametrize("entries", [1, 3, 9, 40, 82, 380])
--- a/tests/decisions/test_engine_load.py
+++ b/tests/decisions/test_engine_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import engine_load
+from sycamorespool.decisions.placing import engine_load
 from tests.decisions import engine_queues as queues
 
 SERVERS = 20
--- a/tests/decisions/test_fleet_load.py
+++ b/tests/decisions/test_fleet_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespool.decisions import fleet_load
+from sycamorespool.decisions.placing import fleet_load
 
 REQUESTS = fleet_load.Requests
 
--- a/tests/decisions/test_limited_turns.py
+++ b/tests/decisions/test_limited_turns.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from sycamorespool.decisions import limited_turns
+from sycamorespool.decisions.placing import limited_turns
 
 KEY = limited_turns.QueueKey("drafts", "m", frozenset())
 OTHER_KEY = limited_turns.QueueKey("drafts", "n", frozenset())
--- a/tests/decisions/test_peer_choice.py
+++ b/tests/decisions/test_peer_choice.py
@@ -3,7 +3,7 @@
 import collections
 import random
 
-from sycamorespool.decisions import peer_choice
+from sycamorespool.decisions.placing import peer_choice
 from sycamorespool.decisions import store_readers
 
 REGION_OF = {"a": "east", "b": "east", "c": "west"}
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -6,9 +6,9 @@
 import pytest
 
 from sycamorespool import backends
-from sycamorespool.decisions import placement
+from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_activity
 
 
 ENTRIES = 200
--- a/tests/decisions/test_reachability.py
+++ b/tests/decisions/test_reachability.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import reachability
 
 SERVERS = [f"i-{number}" for number in range(10)]
 
--- a/tests/decisions/test_repeated_silence.py
+++ b/tests/decisions/test_repeated_silence.py
@@ -1,6 +1,6 @@
 """Tests of a server that falls silent twice without a byte in between."""
 
-from sycamorespool.decisions import server_activity
+from sycamorespool.decisions.placing import server_activity
 
 PROBE_TIMEOUT_S = 0.2
 
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sycamorespool.decisions import grant_book
-from sycamorespool.decisions import routing
+from sycamorespool.decisions.placing import routing
 from sycamorespool import models
 
 UNIT = "domain/d"
--- a/tests/decisions/test_server_limits.py
+++ b/tests/decisions/test_server_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import server_limits
+from sycamorespool.decisions.placing import server_limits
 
 WINDOW_S = 4.0
 TTL_S = 2.4
--- a/tests/decisions/test_share_leases.py
+++ b/tests/decisions/test_share_leases.py
@@ -1,7 +1,7 @@
 """Tests of the part of a common limit that an entry may use."""
 
-from sycamorespool.decisions import server_limits
-from sycamorespool.decisions import share_leases
+from sycamorespool.decisions.placing import server_limits
+from sycamorespool.decisions.placing import share_leases
 
 TTL_S = 2.4
 PARTITIONS = tuple((f"t-{n}", part) for n in range(16) for part in range(12))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,8 +6,8 @@
 import trio
 
 from sycamorespool import backends
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import retries
-from sycamorespool.decisions import server_activity
 from sycamorespool import exceptions
 from sycamorespool.requests import attempts
 from sycamorespool.requests import call_attempts
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -17,8 +17,8 @@
 
 from sycamorespool import backends
 from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_limits
 from sycamorespool.decisions import store_readers
 from sycamorespool import decoding
 from sycamorespool import exceptions
--- a/tests/test_partition_share.py
+++ b/tests/test_partition_share.py
@@ -7,9 +7,9 @@
 import trio
 import trio.testing
 
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import reachability
+from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import retries
-from sycamorespool.decisions import server_limits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import partition_share
--- a/tests/test_peer_probes.py
+++ b/tests/test_peer_probes.py
@@ -7,10 +7,10 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool.decisions import placement
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import reachability
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
-from sycamorespool.decisions import server_activity
 from sycamorespool.decisions import store_readers
 from sycamorespool import http_client
 from sycamorespool.peers import peer_probes
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -9,11 +9,11 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool.decisions import placement
-from sycamorespool.decisions import reachability
+from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import reachability
+from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import retries
-from sycamorespool.decisions import server_activity
 from sycamorespool.platform import engines
 from sycamorespool.requests import call_attempts
 from sycamorespool import stall_detection
