--- a/benchmarks/grants.py
+++ b/benchmarks/grants.py
@@ -19,8 +19,8 @@
 from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import grant_ledger
 from sycamorespool.decisions import grants
+from sycamorespool.decisions.groups import ramps
 from sycamorespool.decisions.placing import routing
-from sycamorespool.decisions import ramps
 
 SEED = 5
 SERVICE = configuration.Service(cold_limit=2, warm_limit=16)
--- a/benchmarks/group_faults.py
+++ b/benchmarks/group_faults.py
@@ -12,7 +12,7 @@
 import typing as t
 
 from benchmarks import vm_model
-from sycamorespool.decisions import group_planner
+from sycamorespool.decisions.groups import group_planner
 from sycamorespool import models
 
 DAY_S = 86400.0
--- a/benchmarks/group_policy.py
+++ b/benchmarks/group_policy.py
@@ -11,7 +11,7 @@
 
 from benchmarks import group_faults
 from benchmarks import vm_model
-from sycamorespool.decisions import group_planner
+from sycamorespool.decisions.groups import group_planner
 
 # Time until the owner notices that a VM is lost.
 DETECTION_S = 1.75
--- a/benchmarks/vm_model.py
+++ b/benchmarks/vm_model.py
@@ -9,9 +9,9 @@
 import math
 import typing as t
 
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import group_planner
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import group_planner
+from sycamorespool.decisions.groups import plan_draft
 from sycamorespool.decisions import replay
 from sycamorespool import models
 from sycamorespool import records
--- a/src/sycamorespool/decisions/grant_ledger.py
+++ b/src/sycamorespool/decisions/grant_ledger.py
@@ -15,7 +15,7 @@
 from sycamorespool import configuration
 from sycamorespool.decisions import fleet
 from sycamorespool.decisions import grant_authority
-from sycamorespool.decisions import ramps
+from sycamorespool.decisions.groups import ramps
 from sycamorespool import models
 
 TTL_S = 2.0  # validity of a grant on the asker's clock
--- /dev/null
+++ b/src/sycamorespool/decisions/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which VMs form groups of which models; no I/O."""
--- a/src/sycamorespool/decisions/domain_planner.py
+++ b/src/sycamorespool/decisions/groups/domain_planner.py
@@ -18,8 +18,8 @@
 import dataclasses
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import plan_builder
+from sycamorespool.decisions.groups import domain_view
+from sycamorespool.decisions.groups import plan_builder
 from sycamorespool import routing_table
 
 
--- a/src/sycamorespool/decisions/formations.py
+++ b/src/sycamorespool/decisions/groups/formations.py
@@ -10,8 +10,8 @@
 import dataclasses
 
 from sycamorespool import configuration
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import plan_draft
 from sycamorespool.decisions import rendezvous
 from sycamorespool import models
 from sycamorespool import records
--- a/src/sycamorespool/decisions/group_drains.py
+++ b/src/sycamorespool/decisions/groups/group_drains.py
@@ -7,9 +7,9 @@
 """
 
 from sycamorespool import configuration
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import formations
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import formations
+from sycamorespool.decisions.groups import plan_draft
 from sycamorespool.decisions import rendezvous
 from sycamorespool.decisions import replay
 
--- a/src/sycamorespool/decisions/group_planner.py
+++ b/src/sycamorespool/decisions/groups/group_planner.py
@@ -14,13 +14,13 @@
 
 import dataclasses
 
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import formations
-from sycamorespool.decisions import group_drains
-from sycamorespool.decisions import plan_draft
-from sycamorespool.decisions import repairs
-from sycamorespool.decisions import vm_health
-from sycamorespool.decisions import vm_orders
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import formations
+from sycamorespool.decisions.groups import group_drains
+from sycamorespool.decisions.groups import plan_draft
+from sycamorespool.decisions.groups import repairs
+from sycamorespool.decisions.groups import vm_health
+from sycamorespool.decisions.groups import vm_orders
 from sycamorespool import models
 
 
--- a/src/sycamorespool/decisions/model_allocation.py
+++ b/src/sycamorespool/decisions/groups/model_allocation.py
@@ -11,7 +11,7 @@
 fewer requests the loss of one affects, and the remaining members of a lost
 group are the spares of the next one, with its weights on their hosts.  The
 VMs that are too few for a group are the spares of their domain
-(:mod:`sycamorespool.decisions.spares`).
+(:mod:`sycamorespool.decisions.groups.spares`).
 """
 
 import collections
--- a/src/sycamorespool/decisions/plan_builder.py
+++ b/src/sycamorespool/decisions/groups/plan_builder.py
@@ -11,8 +11,8 @@
 import math
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import spares
+from sycamorespool.decisions.groups import domain_view
+from sycamorespool.decisions.groups import spares
 from sycamorespool import routing_table
 
 
--- a/src/sycamorespool/decisions/plan_draft.py
+++ b/src/sycamorespool/decisions/groups/plan_draft.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from sycamorespool import configuration
-from sycamorespool.decisions import domain_state
+from sycamorespool.decisions.groups import domain_state
 from sycamorespool.decisions import replay
 from sycamorespool import models
 from sycamorespool import records
--- a/src/sycamorespool/decisions/repairs.py
+++ b/src/sycamorespool/decisions/groups/repairs.py
@@ -7,8 +7,8 @@
 
 import dataclasses
 
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import plan_draft
 from sycamorespool import records
 
 # How long a group may stay incomplete before it is dissolved.
--- a/src/sycamorespool/decisions/spares.py
+++ b/src/sycamorespool/decisions/groups/spares.py
@@ -12,7 +12,7 @@
 import collections
 from collections import abc
 
-from sycamorespool.decisions import model_allocation
+from sycamorespool.decisions.groups import model_allocation
 from sycamorespool import routing_table
 
 # Free VMs that hold the weights of a model are the rest of a lost group if
--- a/src/sycamorespool/decisions/vm_health.py
+++ b/src/sycamorespool/decisions/groups/vm_health.py
@@ -9,7 +9,7 @@
 import math
 import statistics
 
-from sycamorespool.decisions import domain_state
+from sycamorespool.decisions.groups import domain_state
 from sycamorespool import models
 
 # A flap is a return from silence.  More flaps than this lead to quarantine;
--- a/src/sycamorespool/decisions/vm_orders.py
+++ b/src/sycamorespool/decisions/groups/vm_orders.py
@@ -10,10 +10,10 @@
 import collections
 import dataclasses
 
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import plan_draft
+from sycamorespool.decisions.groups import vm_health
 from sycamorespool.decisions import replay
-from sycamorespool.decisions import vm_health
 from sycamorespool import models
 
 # An order whose effect is not reported yet is sent again after this time.
--- a/src/sycamorespool/decisions/placing/placement.py
+++ b/src/sycamorespool/decisions/placing/placement.py
@@ -27,7 +27,7 @@
 import math
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
+from sycamorespool.decisions.groups import domain_view
 from sycamorespool.decisions.placing import engine_load
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import server_activity
--- a/src/sycamorespool/decisions/replay.py
+++ b/src/sycamorespool/decisions/replay.py
@@ -19,7 +19,7 @@
 
 from sycamorespool import configuration
 from sycamorespool.decisions import fleet
-from sycamorespool.decisions import group_replay
+from sycamorespool.decisions.groups import group_replay
 from sycamorespool import exceptions
 from sycamorespool import records
 
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -18,9 +18,9 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_planner
-from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import fencing
+from sycamorespool.decisions.groups import domain_planner
+from sycamorespool.decisions.groups import domain_view
 from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
--- a/src/sycamorespool/domain_units.py
+++ b/src/sycamorespool/domain_units.py
@@ -12,9 +12,9 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import model_allocation
-from sycamorespool.decisions import model_demand
+from sycamorespool.decisions.groups import domain_view
+from sycamorespool.decisions.groups import model_allocation
+from sycamorespool.decisions.groups import model_demand
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
--- a/src/sycamorespool/grantor.py
+++ b/src/sycamorespool/grantor.py
@@ -17,7 +17,7 @@
 from sycamorespool.decisions import grant_authority
 from sycamorespool.decisions import grant_ledger
 from sycamorespool.decisions import grants
-from sycamorespool.decisions import ramps
+from sycamorespool.decisions.groups import ramps
 from sycamorespool import leases
 from sycamorespool import logs
 from sycamorespool import models
--- a/src/sycamorespool/group_control.py
+++ b/src/sycamorespool/group_control.py
@@ -11,9 +11,9 @@
 
 from sycamorespool.backend_servers import control
 from sycamorespool import checks
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import group_planner
-from sycamorespool.decisions import plan_draft
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import group_planner
+from sycamorespool.decisions.groups import plan_draft
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import leases
--- a/src/sycamorespool/owner.py
+++ b/src/sycamorespool/owner.py
@@ -11,8 +11,8 @@
 import trio
 
 from sycamorespool.backend_servers import probes
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import group_planner
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import group_planner
 from sycamorespool import environment
 from sycamorespool import exceptions
 from sycamorespool import models
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -13,7 +13,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
+from sycamorespool.decisions.groups import domain_view
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
 from sycamorespool import exceptions
--- a/tests/decisions/engine_simulation.py
+++ b/tests/decisions/engine_simulation.py
@@ -10,9 +10,9 @@
 import random
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_planner
-from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import plan_builder
+from sycamorespool.decisions.groups import domain_planner
+from sycamorespool.decisions.groups import domain_view
+from sycamorespool.decisions.groups import plan_builder
 from sycamorespool import routing_table
 
 STALL_S = 4.0
--- a/tests/decisions/samples.py
+++ b/tests/decisions/samples.py
@@ -2,7 +2,7 @@
 
 from sycamorespool import configuration
 from sycamorespool.decisions import grant_ledger
-from sycamorespool.decisions import ramps
+from sycamorespool.decisions.groups import ramps
 
 SERVICE = configuration.Service(cold_limit=2, warm_limit=16)
 UNIT = "domain/d"
--- a/tests/decisions/test_domain_planner.py
+++ b/tests/decisions/test_domain_planner.py
@@ -7,8 +7,8 @@
 import pytest
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_planner
-from sycamorespool.decisions import domain_view
+from sycamorespool.decisions.groups import domain_planner
+from sycamorespool.decisions.groups import domain_view
 from tests.decisions import engine_simulation
 
 STEP_S = 0.1
--- a/tests/decisions/test_fencing.py
+++ b/tests/decisions/test_fencing.py
@@ -3,8 +3,8 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from sycamorespool.decisions import domain_view
 from sycamorespool.decisions import fencing
+from sycamorespool.decisions.groups import domain_view
 
 POSITIONS = st.tuples(
     st.integers(0, 2**16), st.integers(0, fencing.CLAIMS_PER_TIMELINE - 1)
--- a/tests/decisions/test_group_planner.py
+++ b/tests/decisions/test_group_planner.py
@@ -13,11 +13,11 @@
 import pytest
 
 from benchmarks import vm_model
-from sycamorespool.decisions import domain_state
-from sycamorespool.decisions import group_planner
-from sycamorespool.decisions import plan_draft
-from sycamorespool.decisions import repairs
-from sycamorespool.decisions import vm_health
+from sycamorespool.decisions.groups import domain_state
+from sycamorespool.decisions.groups import group_planner
+from sycamorespool.decisions.groups import plan_draft
+from sycamorespool.decisions.groups import repairs
+from sycamorespool.decisions.groups import vm_health
 from sycamorespool import models
 
 EXAMPLES = 400 if os.environ.get("SOAK") else 40
--- a/tests/decisions/test_model_allocation.py
+++ b/tests/decisions/test_model_allocation.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import model_allocation
+from sycamorespool.decisions.groups import model_allocation
 from sycamorespool import routing_table
 from tests.decisions import engine_simulation
 
--- a/tests/decisions/test_model_demand.py
+++ b/tests/decisions/test_model_demand.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from sycamorespool.decisions import model_allocation
-from sycamorespool.decisions import model_demand
+from sycamorespool.decisions.groups import model_allocation
+from sycamorespool.decisions.groups import model_demand
 from sycamorespool import routing_table
 
 BIG = routing_table.Model("big", 8, 1.0, 0.5, 16.0, 1.6)
--- a/tests/decisions/test_ramps.py
+++ b/tests/decisions/test_ramps.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespool.decisions import ramps
+from sycamorespool.decisions.groups import ramps
 from tests.decisions import samples
 
 
--- a/tests/decisions/test_running_groups.py
+++ b/tests/decisions/test_running_groups.py
@@ -9,8 +9,8 @@
 import pytest
 
 from sycamorespool import backends
-from sycamorespool.decisions import domain_planner
-from sycamorespool.decisions import domain_view
+from sycamorespool.decisions.groups import domain_planner
+from sycamorespool.decisions.groups import domain_view
 from tests.decisions import engine_simulation
 from tests.decisions import test_domain_planner
 
--- a/tests/decisions/test_spares.py
+++ b/tests/decisions/test_spares.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sycamorespool.decisions import domain_view
-from sycamorespool.decisions import spares
+from sycamorespool.decisions.groups import domain_view
+from sycamorespool.decisions.groups import spares
 from tests.decisions import engine_simulation
 
 MODELS = engine_simulation.ENGINE.models
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -7,7 +7,7 @@
 from sycamorespool import checks
 from sycamorespool import configuration
 from sycamorespool.decisions import grant_ledger
-from sycamorespool.decisions import ramps
+from sycamorespool.decisions.groups import ramps
 from sycamorespool.decisions import replay
 from sycamorespool.decisions import retries
 from sycamorespool import exceptions
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -10,7 +10,7 @@
 
 from sycamorespool import address_pools
 from sycamorespool import backends
-from sycamorespool.decisions import domain_view
+from sycamorespool.decisions.groups import domain_view
 from sycamorespool.decisions.placing import placement
 from sycamorespool.decisions import registry
 from sycamorespool import exceptions
