--- /dev/null
+++ b/src/sycamorespool/decisions/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what ends or degrades servers, and what follows; no I/O."""
--- a/src/sycamorespool/decisions/fatal_traits.py
+++ b/src/sycamorespool/decisions/faults/fatal_traits.py
@@ -24,7 +24,7 @@
 import math
 import typing as t
 
-from sycamorespool.decisions import end_causes
+from sycamorespool.decisions.faults import end_causes
 
 # Ends after which a trait is blocked, unless some entry has served it.
 BLOCK_ENDS = 3
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -22,7 +22,7 @@
 from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions.placing import cold_limits
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import limited_turns
--- a/src/sycamorespool/gauges.py
+++ b/src/sycamorespool/gauges.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from sycamorespool.decisions import degradation
+from sycamorespool.decisions.faults import degradation
 from sycamorespool import environment
 from sycamorespool import models
 from sycamorespool import owner
--- a/src/sycamorespool/requests/attempt_results.py
+++ b/src/sycamorespool/requests/attempt_results.py
@@ -8,7 +8,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions.placing import reachability
 from sycamorespool.decisions import retries
 from sycamorespool import entry_context
--- a/src/sycamorespool/requests/call_attempts.py
+++ b/src/sycamorespool/requests/call_attempts.py
@@ -6,7 +6,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions import retries
 from sycamorespool import exceptions
 
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -4,7 +4,7 @@
 import dataclasses
 import functools
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions.placing import engine_load
 from sycamorespool.decisions.placing import placement
 from sycamorespool import entry_context
--- a/src/sycamorespool/requests/cut_requests.py
+++ b/src/sycamorespool/requests/cut_requests.py
@@ -9,7 +9,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -13,7 +13,7 @@
 
 from sycamorespool import asgi
 from sycamorespool import backends
-from sycamorespool.decisions import end_causes
+from sycamorespool.decisions.faults import end_causes
 from sycamorespool.decisions.placing import engine_load
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import placement
--- a/src/sycamorespool/requests/request_identity.py
+++ b/src/sycamorespool/requests/request_identity.py
@@ -10,7 +10,7 @@
 
 import hmac
 
-from sycamorespool.decisions import end_causes
+from sycamorespool.decisions.faults import end_causes
 from sycamorespool.requests import caller_request
 
 DIGEST_BYTES = 8
--- a/src/sycamorespool/store/end_reports.py
+++ b/src/sycamorespool/store/end_reports.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool import decoding
 from sycamorespool.platform import pages
 
--- a/src/sycamorespool/store/server_ends.py
+++ b/src/sycamorespool/store/server_ends.py
@@ -5,7 +5,7 @@
 finds so too, its process has ended, and the entry reports it with the requests
 it had there.  All entries follow the reports in a topic of the store and hold
 or block parts of prompts by them (see
-:mod:`sycamorespool.decisions.fatal_traits`).
+:mod:`sycamorespool.decisions.faults.fatal_traits`).
 
 An entry that starts reads the reports too, so that blocks outlast the
 processes that made them.
@@ -19,7 +19,7 @@
 import trio
 
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
--- a/tests/decisions/fatal_request_world.py
+++ b/tests/decisions/fatal_request_world.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from tests.decisions import fatal_trait_world
 
 DOWN_S = 2.0
--- a/tests/decisions/fatal_trait_world.py
+++ b/tests/decisions/fatal_trait_world.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 
 FATAL = "bad"
 SUBJECTS = 60
--- a/tests/decisions/test_degradation.py
+++ b/tests/decisions/test_degradation.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sycamorespool.decisions import degradation
+from sycamorespool.decisions.faults import degradation
 from sycamorespool.decisions import replay
 from sycamorespool import models
 from sycamorespool import records
--- a/tests/decisions/test_end_causes.py
+++ b/tests/decisions/test_end_causes.py
@@ -2,7 +2,7 @@
 
 import math
 
-from sycamorespool.decisions import end_causes
+from sycamorespool.decisions.faults import end_causes
 
 
 def find_causes(*ends, blocked=(), served=()):
--- a/tests/decisions/test_fatal_requests.py
+++ b/tests/decisions/test_fatal_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from tests.decisions import fatal_request_world as worlds
 
 PLAIN, ENGINES = worlds.PLAIN, worlds.ENGINES
--- a/tests/decisions/test_fatal_traits.py
+++ b/tests/decisions/test_fatal_traits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from tests.decisions import fatal_trait_world
 
 FATAL = "bad"
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from tests.hosted import fleet as fleets
 
 TOPIC = "keyed.server-ends"
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -16,7 +16,7 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool.decisions import fatal_traits
+from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions.placing import server_limits
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import store_readers
--- a/tests/test_request_identity.py
+++ b/tests/test_request_identity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sycamorespool.decisions import end_causes
+from sycamorespool.decisions.faults import end_causes
 from sycamorespool.requests import caller_request
 from sycamorespool.requests import request_identity
 
