Take a want of descriptors for what it is, not for a lost server

An entry at its limit of descriptors could open no connection, and took that for one that the server had refused: it counted servers as not reached, left its fabric domains, and saw VMs as gone whose reports it could not fetch. The error says nothing of the peer, so it is no failure of the server now. The two tests fail before (BackendUnreachable; not accepting).

--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -209,6 +209,8 @@
                 await sockets.connect(address)
             )
     except OSError as error:
+        if sockets.lacks_resources(error):
+            raise exceptions.BackendNotReached(repr(error)) from error
         raise exceptions.BackendUnreachable(repr(error), True) from error
     except trio.TooSlowError as error:
         if end_s < latest_s:
--- a/src/sycamorespool/peers/reach_watch.py
+++ b/src/sycamorespool/peers/reach_watch.py
@@ -44,7 +44,8 @@
         connection.close()
     except (OSError, trio.TooSlowError) as raised:
         error = raised
-    if backend_id not in context.registry.servers:
+    lacks_resources = error is not None and sockets.lacks_resources(error)
+    if lacks_resources or backend_id not in context.registry.servers:
         return
     now_s = trio.current_time()
     if error is not None:
--- a/src/sycamorespool/sockets.py
+++ b/src/sycamorespool/sockets.py
@@ -146,6 +146,14 @@
     return connection
 
 
+def lacks_resources(error: BaseException) -> bool:
+    """Tell whether an error comes from this process's own limits.
+
+    It says nothing of the peer.
+    """
+    return isinstance(error, OSError) and error.errno in RESOURCE_ERRNOS
+
+
 async def is_refused(address: str, timeout_s: float) -> bool:
     """Tell whether no process listens at an address of a running machine."""
     with trio.move_on_after(timeout_s):
@@ -204,11 +212,14 @@
 
 
 async def is_accepting(address: str, timeout_s: float) -> bool:
-    """Tell whether an ``IP:port`` accepts a new connection in time."""
+    """Tell whether an ``IP:port`` accepts a new connection in time.
+
+    One that this process has no descriptor to try is taken to accept.
+    """
     try:
         with trio.fail_after(timeout_s):
             connection = await connect(address)
-    except (OSError, trio.TooSlowError):
-        return False
+    except (OSError, trio.TooSlowError) as error:
+        return lacks_resources(error)
     connection.close()
     return True
--- a/tests/backend_servers/test_streaming_client.py
+++ b/tests/backend_servers/test_streaming_client.py
@@ -1,6 +1,7 @@
 """Tests of whose answer an answer on a connection is."""
 
 import contextlib
+import errno
 import math
 
 import pytest
@@ -11,6 +12,7 @@
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
+from sycamorespool import sockets
 
 DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
 
@@ -126,3 +128,22 @@
             server, "a", "b", dialect=streaming_client.OWN_DIALECT
         )
         assert outcomes == [200, exceptions.BackendCut]
+
+
+class TestDescriptors:
+    @pytest.fixture(autouse=True)
+    def no_descriptors(self, monkeypatch):
+        async def connect(address):
+            raise OSError(errno.EMFILE, "too many open files")
+
+        monkeypatch.setattr(sockets, "connect", connect)
+
+    def test_want_of_descriptors_does_not_tell_that_a_server_is_gone(self):
+        # It counted as a refused connection, so that an entry that was full
+        # took sound servers for lost ones.
+        outcomes = exchange(Server(), "a1")
+        assert outcomes == [exceptions.BackendNotReached]
+
+    def test_vm_is_not_lost_for_want_of_descriptors(self):
+        assert trio.run(sockets.is_accepting, "127.0.0.1:9", 1.0)
+        assert not trio.run(sockets.is_refused, "127.0.0.1:9", 1.0)
