--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -26,7 +26,7 @@
 from sycamorespool.decisions.placing import cold_limits
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import limited_turns
-from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions.placing import reachability
 from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions.placing import server_limits
@@ -133,7 +133,7 @@
     settings: node_settings.Settings
     incarnation: int
     platform_store: store.Store
-    placement_state: placement.PlacementState
+    placement_state: placement_state.PlacementState
     engine_pool: address_pools.AddressPools
     peer_pool: httpcore.AsyncConnectionPool
     random: random.Random
@@ -339,7 +339,7 @@
         """Drop the state of servers that left the registry."""
         now_s = trio.current_time()
         for backend_id in backend_ids:
-            placement.forget(self.placement_state, backend_id, now_s)
+            placement_state.forget(self.placement_state, backend_id, now_s)
             cold_limits.forget(self.cold, backend_id)
             reachability.forget(self.reach, backend_id)
             self.breakers.pop(backend_id, None)
@@ -378,7 +378,7 @@
         settings,
         incarnation,
         store.Store(pool, settings.platform.address),
-        placement.PlacementState(registry.Registry(), regions),
+        placement_state.PlacementState(registry.Registry(), regions),
         address_pools.AddressPools(),
         http_client.make_pool(),
         random.Random(f"{settings.entry.name}/{incarnation}"),
--- a/src/sycamorespool/peers/peer_calls.py
+++ b/src/sycamorespool/peers/peer_calls.py
@@ -13,8 +13,8 @@
 
 from sycamorespool import asgi
 from sycamorespool import backends
+from sycamorespool.decisions.placing import candidates
 from sycamorespool.decisions.placing import peer_choice
-from sycamorespool.decisions.placing import placement
 from sycamorespool.decisions.placing import reachability
 from sycamorespool import entry_context
 from sycamorespool.platform import headers
@@ -112,8 +112,10 @@
 
     Those at which the call has failed already do not count.
     """
-    eligible = placement.list_eligible(
-        context.placement_state, call.make_placement_request(tries.excluded)
+    eligible = candidates.list_eligible(
+        context.placement_state,
+        call.make_placement_request(tries.excluded),
+        trio.current_time(),
     )
     reached = sum(
         reachability.is_reached(context.reach, backend.backend_id)
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -5,8 +5,8 @@
 import functools
 
 from sycamorespool.decisions.faults import fatal_traits
+from sycamorespool.decisions.placing import candidates
 from sycamorespool.decisions.placing import engine_load
-from sycamorespool.decisions.placing import placement
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
@@ -101,13 +101,13 @@
 
     def make_placement_request(
         self, excluded: frozenset[str]
-    ) -> placement.PlacementRequest:
+    ) -> candidates.PlacementRequest:
         """Return what the request requires of its backend server.
 
         ``excluded`` are the servers that it must not be sent to.
         """
         own = self.workspace.regions if self.workspace else frozenset()
-        return placement.PlacementRequest(
+        return candidates.PlacementRequest(
             self.service,
             self.request.model,
             _combine_regions(self.route.regions, own),
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -14,6 +14,7 @@
 from sycamorespool import asgi
 from sycamorespool import backends
 from sycamorespool.decisions.faults import end_causes
+from sycamorespool.decisions.placing import candidates
 from sycamorespool.decisions.placing import engine_load
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import placement
@@ -137,7 +138,7 @@
     if not tries.state.tries:
         usable = [
             backend
-            for backend in placement.list_usable(
+            for backend in candidates.list_usable(
                 context.placement_state, request, now_s
             )
             if context.may_reach(backend, call.route.is_repeatable)
@@ -145,7 +146,7 @@
         if usable and all(map(limited.is_limited, usable)):
             await limited.wait_for_turn(usable, until_s)
             return
-    backoff_end_s = placement.find_backoff_end_s(
+    backoff_end_s = candidates.find_backoff_end_s(
         context.placement_state, request, now_s
     )
     is_passed_on = call.passed_on is not None
--- a/tests/decisions/engine_queues.py
+++ b/tests/decisions/engine_queues.py
@@ -12,9 +12,11 @@
 import random
 
 from sycamorespool import backends
+from sycamorespool.decisions.placing import candidates
 from sycamorespool.decisions.placing import engine_load
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
 from sycamorespool import routing_table
@@ -108,7 +110,7 @@
                 membership=member,
             )
             registry.apply_entry(known, name, server, 0.0)
-        return placement.PlacementState(known, {"dc": "r"})
+        return placement_state.PlacementState(known, {"dc": "r"})
 
     def play(self, jobs):
         """Play jobs to their end; return them with their first tokens."""
@@ -140,7 +142,7 @@
         cost = functools.partial(
             engine_load.predict_cost_s, TIMES, MODEL, SLOTS, job.work
         )
-        request = placement.PlacementRequest(
+        request = candidates.PlacementRequest(
             "s", "m", predict_cost_s=cost if self.is_by_times else None
         )
         found = placement.choose(
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -6,7 +6,9 @@
 import pytest
 
 from sycamorespool import backends
+from sycamorespool.decisions.placing import candidates
 from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
 
@@ -18,7 +20,7 @@
     known = registry.Registry()
     for server in servers:
         registry.apply_entry(known, server.backend_id, server, 0.0)
-    return placement.PlacementState(known, {"dc1": "r1", "dc2": "r2"})
+    return placement_state.PlacementState(known, {"dc1": "r1", "dc2": "r2"})
 
 
 def make_server(vm_id, data_centre="dc1", **changes):
@@ -39,7 +41,7 @@
 
 
 def choose(state, constraints=None, now_s=0.0):
-    constraints = constraints or placement.PlacementRequest("s")
+    constraints = constraints or candidates.PlacementRequest("s")
     found = placement.choose(
         state, constraints, now_s, 0.0, lambda server: True
     )
@@ -58,11 +60,13 @@
     @pytest.mark.parametrize(
         "constraints",
         [
-            placement.PlacementRequest("s", excluded=frozenset({"a"})),
-            placement.PlacementRequest("s", allowed_regions=frozenset({"r2"})),
+            candidates.PlacementRequest("s", excluded=frozenset({"a"})),
+            candidates.PlacementRequest(
+                "s", allowed_regions=frozenset({"r2"})
+            ),
             # HOME: homes with nothing in common were taken for none.
-            placement.PlacementRequest("s", allowed_regions=frozenset()),
-            placement.PlacementRequest("other"),
+            candidates.PlacementRequest("s", allowed_regions=frozenset()),
+            candidates.PlacementRequest("other"),
         ],
     )
     def test_server_that_violates_a_constraint_is_not_chosen(
@@ -89,14 +93,14 @@
             make_member("c", "m@2", 1),
             make_member("d", "other@3", 0, "open"),
         )
-        assert choose(state, placement.PlacementRequest("s", "m")) == "b"
+        assert choose(state, candidates.PlacementRequest("s", "m")) == "b"
 
     def test_group_with_a_draining_member_is_not_chosen(self):
         state = make_state(
             make_member("b", "m@2", 0, "open"),
             make_member("c", "m@2", 1, is_draining=True),
         )
-        assert choose(state, placement.PlacementRequest("s", "m")) is None
+        assert choose(state, candidates.PlacementRequest("s", "m")) is None
 
 
 class TestManyEntries:
@@ -106,7 +110,7 @@
             make_member(f"i-{n}", f"m@{n}", 0, "open", data_centre=centre)
             for n, centre in enumerate(("dc1", "dc2", "dc2", "dc2"))
         ]
-        request = placement.PlacementRequest("s", "m")
+        request = candidates.PlacementRequest("s", "m")
         rng = random.Random(1)
         chosen = collections.Counter(
             placement.choose(
@@ -128,7 +132,7 @@
             assert choose(state, now_s=until_s) == "a"
             blocks_s.append(until_s - now_s)
             now_s = until_s
-        longest_s = placement.MAX_REFUSED_BLOCK_S
+        longest_s = placement_state.MAX_REFUSED_BLOCK_S
         assert blocks_s == pytest.approx([0.15, 0.3, longest_s, longest_s])
 
     def test_full_server_does_not_draw_the_requests_of_many_entries(self):
@@ -138,7 +142,7 @@
             state = make_state(make_server("full"), make_server("open"))
             server_activity.begin(state.activities["open"], 0.0)
             for step in range(20):
-                now_s = step * placement.REFUSED_BLOCK_S
+                now_s = step * placement_state.REFUSED_BLOCK_S
                 if choose(state, now_s=now_s + 1e-6) == "full":
                     arrivals += 1
                     state.note_refusal("full", now_s)
@@ -156,7 +160,7 @@
         state = make_state()
         leaving = backends.Notice(is_leaving=True)
         state.note_notice(make_server("a", started_ms=5), leaving, 0.0)
-        placement.forget(state, "a", 1.0)
+        placement_state.forget(state, "a", 1.0)
         for started_ms, chosen in ((5, None), (6, "a")):
             server = make_server("a", started_ms=started_ms)
             registry.apply_entry(state.registry, "a", server, 2.0)
@@ -166,23 +170,23 @@
         member = make_member("c", "m@2", 1)
         state = make_state(make_member("b", "m@2", 0, "open"), member)
         state.note_notice(member, backends.Notice(is_leaving=True), 0.0)
-        assert choose(state, placement.PlacementRequest("s", "m")) is None
+        assert choose(state, candidates.PlacementRequest("s", "m")) is None
 
     def test_server_that_wants_a_pause_is_not_chosen_until_its_end(self):
         state = make_state(make_server("a"))
         for pause_s, now_s in ((4.0, 1.0), (1.0, 2.0)):
             notice = backends.Notice(retry_after_s=pause_s)
             state.note_notice(make_server("a"), notice, now_s)
-        placement.forget(state, "a", 3.0)
+        placement_state.forget(state, "a", 3.0)
         assert choose(state, now_s=4.9) is None
         assert choose(state, now_s=5.0) == "a"
 
     def test_end_of_the_first_pause_is_known_if_all_servers_want_one(self):
         state = make_state(make_server("a"), make_server("b"))
-        request = placement.PlacementRequest("s")
+        request = candidates.PlacementRequest("s")
 
         def find_end_s():
-            return placement.find_backoff_end_s(state, request, 0.0)
+            return candidates.find_backoff_end_s(state, request, 0.0)
 
         assert find_end_s() is None
         for vm_id, pause_s in (("a", 3.0), ("b", 2.0)):
@@ -198,9 +202,9 @@
     def test_memory_of_leaving_servers_is_bounded(self):
         state = make_state()
         leaving = backends.Notice(is_leaving=True)
-        for number in range(placement.MAX_LEAVING + 1):
+        for number in range(placement_state.MAX_LEAVING + 1):
             state.note_notice(make_server(f"i-{number}"), leaving, 0.0)
-        assert len(state.leaving_ms) == placement.MAX_LEAVING
+        assert len(state.leaving_ms) == placement_state.MAX_LEAVING
         assert "i-0" not in state.leaving_ms
 
 
@@ -263,7 +267,7 @@
             make_member("a", "m@1", 0, "open"),
             make_member("b", "m@2", 0, "open", data_centre="dc2"),
         )
-        constraints = placement.PlacementRequest("s", "m")
+        constraints = candidates.PlacementRequest("s", "m")
         server_activity.note_stall(state.activities["a"], 1.0)
         assert choose(state, constraints, now_s=1.1) == "b"
         if event == "bytes":
--- a/tests/test_peer_probes.py
+++ b/tests/test_peer_probes.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions.placing import reachability
 from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
@@ -27,7 +27,7 @@
     known = registry.Registry()
     for vm_id in SERVERS:
         registry.apply_entry(known, vm_id, make_server(vm_id), 0.0)
-    state = placement.PlacementState(known, {})
+    state = placement_state.PlacementState(known, {})
     server_activity.note_bytes(state.activities[SERVERS[-1]], heard_s)
     reach = reachability.Reachability()
     for vm_id in SERVERS[:failed]:
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from sycamorespool import backends
-from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions.placing import reachability
 from sycamorespool.decisions.placing import server_activity
 from sycamorespool.decisions import registry
@@ -53,7 +53,7 @@
             membership=member,
         )
         registry.apply_entry(state, server.backend_id, server, 0.0)
-    initial_state = placement.PlacementState(state, {})
+    initial_state = placement_state.PlacementState(state, {})
     return types.SimpleNamespace(
         placement_state=initial_state,
         registry=state,
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -11,7 +11,7 @@
 from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool.decisions.groups import domain_view
-from sycamorespool.decisions.placing import placement
+from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions import registry
 from sycamorespool import exceptions
 from sycamorespool import vm_watch
@@ -38,7 +38,7 @@
     known.last_heartbeat_s["a"] = last_heartbeat_s
     return types.SimpleNamespace(
         registry=known,
-        placement_state=placement.PlacementState(known, {}),
+        placement_state=placement_state.PlacementState(known, {}),
         settings=types.SimpleNamespace(
             platform=types.SimpleNamespace(heartbeat_ms=HEARTBEAT_S * 1000)
         ),
