--- a/src/sycamorespool/cli.py
+++ b/src/sycamorespool/cli.py
@@ -20,7 +20,9 @@
 from sycamorespool import hosted
 from sycamorespool import logs
 from sycamorespool import node_settings
+from sycamorespool.operators import client
 from sycamorespool.operators import commands
+from sycamorespool.operators import placement_query
 from sycamorespool import report as report_pages
 from sycamorespool import settings as settings_files
 from sycamorespool.standins import engine
@@ -302,6 +304,43 @@
         """Explain the state of a VM, group, unit, patch or request."""
         return self._call_operator(commands.explain, name)
 
+    @command_parsing.command
+    def explain_request(
+        self,
+        host: str,
+        path: str,
+        *,
+        method: str = "POST",
+        caller_key: str = "",
+        model: str = "",
+        prompt_tokens: int = 0,
+        answer_tokens: int = 0,
+        prompt_parts: str = "",
+    ) -> command_parsing.Task:
+        """Explain where a request would go on a hosted platform, unsent.
+
+        ``--address`` is the metrics address of an entry, and ``prompt_parts``
+        a comma-separated list of ids.
+        """
+        question = {
+            "host": host,
+            "path": path,
+            "method": method,
+            "key": caller_key,
+            "model": model,
+            "prompt_tokens": prompt_tokens,
+            "answer_tokens": answer_tokens,
+            "prompt_parts": [p for p in prompt_parts.split(",") if p],
+        }
+        options = self._options
+        return command_parsing.Task(
+            lambda: placement_query.ask(
+                client.read_addresses(options.address),
+                question,
+                options.timeout_s,
+            )
+        )
+
 
 def _print_result(result: commands.Result, as_json: bool) -> None:
     if as_json:
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -265,7 +265,13 @@
             budget.available = min(budget.available, budget.reserve)
 
     def may_send_to(self, backend: backends.Backend, now_s: float) -> bool:
-        """Tell whether this entry may send a server one more request now.
+        """Tell whether this entry may send a server one more request now."""
+        return not self.find_send_obstacle(backend, now_s)
+
+    def find_send_obstacle(
+        self, backend: backends.Backend, now_s: float
+    ) -> str:
+        """Return why a server may get no request now, empty if it may.
 
         The server's circuit breaker, the limit that it named and, while the
         server is cold, its limit of requests a second decide.
@@ -276,13 +282,13 @@
             activity = self.placement_state.activities.get(backend_id)
             in_flight = activity.in_flight if activity else 0
             if not retries.allows(breaker, in_flight, now_s):
-                return False
+                return "its circuit breaker is open"
         if self.find_limit_wait_s(backend) > 0.0:
-            return False
+            return "the limit that it named is used up"
         if now_s >= self.registry.cold_until_s.get(backend_id, -math.inf):
-            return True
+            return ""
         per_s = self._cold_per_s(backend)
-        return not per_s or cold_limits.may_send(
+        is_allowed = not per_s or cold_limits.may_send(
             self.cold,
             backend_id,
             per_s,
@@ -290,6 +296,7 @@
             rendezvous.weigh(self.name, backend_id) / rendezvous.WEIGHT_LIMIT,
             now_s,
         )
+        return "" if is_allowed else "it is cold and gets no more now"
 
     def may_reach(self, backend: backends.Backend, may_reuse: bool) -> bool:
         """Tell whether a request is expected to reach a server.
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -27,6 +27,7 @@
 from sycamorespool.peers import reach_watch
 from sycamorespool.platform import headers
 from sycamorespool import request_limits
+from sycamorespool.requests import explanations
 from sycamorespool.requests import hosted_callers
 from sycamorespool import stall_detection
 from sycamorespool.store import config_follower
@@ -59,6 +60,11 @@
     return app
 
 
+def _make_operators_app(context: entry_context.EntryContext) -> asgi.App:
+    explain = explanations.make_app(context)
+    return metrics_page.make_app(context, {explanations.PATH: explain})
+
+
 async def _stop_on_signal(
     context: entry_context.EntryContext, stop: trio.Event
 ) -> None:
@@ -233,7 +239,7 @@
         start_kept(load_exchange.run, context)
         for app, address in (
             (_make_readiness_app(context), loaded.listen.readiness),
-            (metrics_page.make_app(context), loaded.listen.metrics),
+            (_make_operators_app(context), loaded.listen.metrics),
         ):
             serve = functools.partial(server.serve, shared=shared)
             start(serve, app, address, loaded.limits, trio.Event())
--- a/src/sycamorespool/metrics_page.py
+++ b/src/sycamorespool/metrics_page.py
@@ -1,5 +1,7 @@
 """Serves an entry's metrics as a page of text on a hosted platform."""
 
+from collections import abc
+
 from sycamorespool import asgi
 from sycamorespool import backends
 from sycamorespool import entry_context
@@ -69,12 +71,23 @@
     return [*lines, f"{_series_name(series, 'count')} {histogram.count}"]
 
 
-def make_app(context: entry_context.EntryContext) -> asgi.App:
-    """Return the ASGI application that serves the page."""
+def make_app(
+    context: entry_context.EntryContext, apps: abc.Mapping[str, asgi.App]
+) -> asgi.App:
+    """Return the ASGI application that serves the page.
+
+    Parameters
+    ----------
+    apps : mapping
+        Further applications for operators, by path.
+    """
 
     async def app(
         scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        if scope["path"] in apps:
+            await apps[scope["path"]](scope, receive, send)
+            return
         if scope["path"] != PATH:
             await asgi.send_response(send, asgi.Response(404))
             return
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -263,21 +263,33 @@
     if now_s >= call.end_s - attempt_results.MIN_TIME_LEFT_S:
         raise attempt_results.final_error(call, tries, now_s)
     _check_traits(context, call, tries, now_s)
-    may_reuse = call.route.is_repeatable
     found = placement.choose(
         context.placement_state,
         call.make_placement_request(tries.list_unusable()),
         now_s,
         context.random.random(),
         lambda backend: (
-            context.may_reach(backend, may_reuse)
-            and context.may_send_to(backend, now_s)
-            and limited.may_take(backend)
+            not find_obstacle(context, call, limited, backend, now_s)
         ),
     )
     return found or peer_calls.find_peer(context, call, tries)
 
 
+def find_obstacle(
+    context: entry_context.EntryContext,
+    call: calls.Call,
+    limited: limited_calls.LimitedCall,
+    backend: backends.Backend,
+    now_s: float,
+) -> str:
+    """Return what keeps a call from a usable server now, empty if nothing."""
+    if not context.may_reach(backend, call.route.is_repeatable):
+        return "this entry does not reach it"
+    if obstacle := context.find_send_obstacle(backend, now_s):
+        return obstacle
+    return "" if limited.may_take(backend) else "other calls come first there"
+
+
 def _begin_beside(
     context: entry_context.EntryContext,
     call: calls.Call,
