--- a/src/sycamorespool/callers/clients.py
+++ b/src/sycamorespool/callers/clients.py
@@ -41,6 +41,8 @@
 # the store, other entries, probes.
 RESERVED_DESCRIPTORS = 64
 RESERVED_FRACTION = 0.1
+# Where the kernel has no limit, connections still take memory.
+UNLIMITED_DESCRIPTORS = 65536
 # A request at a server takes a descriptor besides that of its caller.
 DESCRIPTORS_PER_CLIENT = 2
 FULL_RETRY_AFTER_S = 1.0
@@ -69,6 +71,8 @@
     if limits.max_connections:
         return limits.max_connections
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        descriptors = UNLIMITED_DESCRIPTORS
     if limits.max_descriptors:
         descriptors = min(descriptors, limits.max_descriptors)
     reserved = max(RESERVED_DESCRIPTORS, RESERVED_FRACTION * descriptors)
