Pass over only servers that are far above the mean of the fleet

A bound of 1.25 times the mean and one more passed over servers that had been busy when the reports were made, up to a second ago, and a request lasts about as long.

--- a/src/sycamorespool/decisions/placing/placement.py
+++ b/src/sycamorespool/decisions/placing/placement.py
@@ -34,8 +34,8 @@
 SUSPECT_PENALTY = 1000.0
 # Requests at a server, of all entries, above which it is passed over: a
 # multiple of the mean, and some more while there are few.
-LOAD_BOUND = 1.25
-LOAD_SLACK = 1.0
+LOAD_BOUND = 1.5
+LOAD_SLACK = 2.0
 # Ranks a server with more requests behind every one with fewer, but before a
 # suspect one.
 OVERLOAD_PENALTY = 100.0
--- a/tests/decisions/engine_queues.py
+++ b/tests/decisions/engine_queues.py
@@ -1,7 +1,7 @@
 """Plays requests at model engines that read prompts between the answers.
 
 Each of some entries places its own requests by the real decisions, and learns
-what the others have there some hundred ms later.
+what the others had there half a second to a second ago.
 """
 
 import collections
@@ -92,6 +92,7 @@
         self.shares_load = shares_load
         self.counts = collections.Counter()
         self._numbers = itertools.count()
+        self._reports = [fleet_load.LoadReport()] * entries
 
     def _make_state(self):
         known = registry.Registry()
@@ -179,7 +180,10 @@
             server_activity.end(activity)
 
     def _exchange(self):
-        reports = [self._make_report(state) for state in self.states]
+        reports, self._reports = (
+            self._reports,
+            [self._make_report(state) for state in self.states],
+        )
         for own, state in enumerate(self.states):
             others = fleet_load.FleetLoad()
             for number, report in enumerate(reports):
