Let no shortage of memory end a request that runs

While a request runs, up to 16 KiB of following ones are read. With no room left they were refused, and the refusal came out of the task that waits for the caller to disconnect, which ended the running request; the cost of its connection covers them now. A refused head was parsed after all, to look for its body. A connection without room is closed and gets no answer to a request that it has not sent. Found in reading the diff; the test of the running request fails before.

--- a/src/sycamorespool/callers/exchange.py
+++ b/src/sycamorespool/callers/exchange.py
@@ -17,8 +17,9 @@
 from sycamorespool.callers import clients
 from sycamorespool.decisions import client_memory
 
-# Bytes of following requests that are read during an answer.
-MAX_PIPELINED_BYTES = 16 * 1024
+# Bytes of following requests that are read during an answer; the cost of a
+# connection covers them.
+MAX_PIPELINED_BYTES = clients.CONNECTION_BYTES
 # Parts of a body after which other connections get their turn, as a caller
 # may send many that are small.
 PARTS_PER_TURN = 64
@@ -104,7 +105,7 @@
             if left <= 0:
                 await trio.sleep_forever()
             try:
-                data = await self._client.receive(left)
+                data = await self._client.connection.receive(left)
             except (OSError, trio.ClosedResourceError):
                 return
             self._http.receive_data(data)
@@ -141,7 +142,7 @@
 
         If that is all of it, the connection can be used again.
         """
-        if self._is_body_read:
+        if self._http.their_state is not h11.SEND_BODY:
             return
         with contextlib.suppress(h11.RemoteProtocolError):
             for _ in range(PARTS_PER_TURN):
--- a/src/sycamorespool/callers/server.py
+++ b/src/sycamorespool/callers/server.py
@@ -174,9 +174,12 @@
     server: _Server, http: h11.Connection, client: clients.Client
 ) -> bool:
     """Serve one request; return whether another one may follow."""
-    current = exchange.Exchange(http, client, server.is_closing)
     try:
         await client.begin_exchange(len(http.trailing_data[0]))
+    except exceptions.NotRun:
+        return False
+    current = exchange.Exchange(http, client, server.is_closing)
+    try:
         request = await _read_head(server, http, client)
     except exceptions.NotRun as error:
         await _answer(http, current, error)
