--- a/src/sycamorespool/decisions/client_memory.py
+++ b/src/sycamorespool/decisions/client_memory.py
@@ -22,8 +22,8 @@
 # of it, so that ordinary requests find room beside long ones.
 SMALL_BYTES = 64 * 1024
 LARGE_FRACTION = 0.75
-# A new connection is closed for another one last, as its request may only wait
-# for its turn.
+# Connections that are newer than this are closed last, as their first request
+# may only wait for its turn.
 FRESH_S = 0.5
 # Added to the time without progress, so that size counts among callers that
 # have all just made some.
@@ -126,7 +126,7 @@
 
 
 def remove(memory: ClientMemory, holding: Holding) -> None:
-    """Record that a connection was closed; nothing if it is known."""
+    """Record that a connection was closed; nothing if it is not known."""
     if holding in memory.holdings:
         memory.holdings.discard(holding)
         memory.used_bytes -= holding.size_bytes
@@ -158,7 +158,7 @@
 
 
 def _rank(holding: Holding, now_s: float) -> float:
-    """Return how much memory a caller has kept for how long in vain."""
+    """Return what a caller holds, times how long it has been stalled."""
     stalled_s = now_s - holding.progressed_s + MIN_STALL_S
     return holding.size_bytes * stalled_s
 
--- a/src/sycamorespool/decisions/placing/candidates.py
+++ b/src/sycamorespool/decisions/placing/candidates.py
@@ -1,4 +1,4 @@
-"""Finds the backend servers for a request, and what keeps it from others.
+"""Finds the backend servers for a request, and why others cannot get it.
 
 Placement and its explanation use the same list::
 
--- a/src/sycamorespool/decisions/placing/placement.py
+++ b/src/sycamorespool/decisions/placing/placement.py
@@ -32,8 +32,8 @@
 # Added to a load, which is a fraction of the server's slots; ranks a suspect
 # server behind every other one.
 SUSPECT_PENALTY = 1000.0
-# Requests at a server, of all entries, above which it is passed over: a
-# multiple of the mean, and some more while there are few.
+# A server is passed over if all entries have more requests there than this
+# multiple of the mean, and so many more.
 LOAD_BOUND = 1.5
 LOAD_SLACK = 2.0
 # Ranks a server with more requests behind every one with fewer, but before a
