--- a/tests/callers/test_clients.py
+++ b/tests/callers/test_clients.py
@@ -64,9 +64,11 @@
             with trio.move_on_after(1.0):
                 await receive()
             self.ended.append("request")
+            self.done.set()
 
         async def main():
             self.ended = []
+            self.done = trio.Event()
             shared = clients.Clients(self.LIMITS)
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(
@@ -99,7 +101,8 @@
             await trio.testing.wait_all_tasks_blocked(0.01)
             self.fill(memory)
             await caller.send(self.HEAD)
-            await trio.sleep(2.0)
+            with trio.fail_after(5.0):
+                await self.done.wait()
             assert self.ended == ["request"]
 
         self.run(scenario)
