Review: a success without the server's signature reaches the caller

Nothing checks that a 2xx bears the signature. When a faulty server spoils one byte of that header's name, the caller of an idempotent request gets a 200 without it, although other servers could answer.

--- a/review/lib2/world.py
+++ b/review/lib2/world.py
@@ -314,6 +314,34 @@
         self._file.flush()
 
 
+async def read_request(stream, buffer):
+    """Read one request of a connection; None at its end.
+
+    ``buffer`` holds what was read beyond it.
+    """
+    while b"\r\n\r\n" not in buffer:
+        data = await stream.receive_some(65536)
+        if not data:
+            return None
+        buffer += data
+    head, _, rest = bytes(buffer).partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", "0"))
+    body = bytearray(rest)
+    while len(body) < length:
+        data = await stream.receive_some(65536)
+        if not data:
+            return None
+        body += data
+    buffer[:] = body[length:]
+    method, target, _ = first.split(" ")
+    return method, target, headers, bytes(body[:length])
+
+
 async def request(address, method, path, headers, body=b"", timeout_s=8.0):
     """Send one request on a new connection; return status, headers, body.
 
@@ -378,7 +406,8 @@
         self.store.topics["keyed.op", 0].append(record)
         return self.record.now_s(), len(content)
 
-    async def add_server(self, vm_id, service, zone, app=None):
+    async def add_server(self, vm_id, service, zone, raw=None):
+        """Add a plain server; ``raw`` serves its connections itself."""
         address = free_address()
         server = hosted_engine.HostedEngine(
             self.store,
@@ -390,7 +419,23 @@
             born_ms=int(time.time() * 1000),
             text="{attempt}",
         )
-        await self.serve(app(server) if app else server.app, address)
+        if raw is None:
+            await self.serve(server.app, address)
+        else:
+            host, _, port = address.rpartition(":")
+
+            async def handle(stream):
+                try:
+                    async with stream:
+                        await raw(server, stream)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+
+            await self.nursery.start(
+                lambda task_status: trio.serve_tcp(
+                    handle, int(port), host=host, task_status=task_status
+                )
+            )
         server.write_record()
         self.servers[vm_id] = server
         self.nursery.start_soon(self._beat, server)
