A page that ends before the log does is not the newest state

Cause: peer_reads.read returned the start of each read as a time at which the store had nothing newer. A read returns 1 MiB, so the first pages of a longer log proved nothing of the kind.

Change, where the claim is made: TopicRead.as_of_s and RecordCache.as_of_s are the latest time known at which the store had nothing newer than the page, or than the end of the cache; a page that does not reach the end shows none. A reader that fell behind reads on at once, and the configuration's follower reads the newest version in place of all between.

The same claim elsewhere: the age of records for other entries and heard_s of the reports of ended servers come from the same value, and no longer go back; a read that waits counts its wait only if it took that long; an outage of the registry ends when its reader has caught up; a second whole read no longer ends evacuations held after a restore; a list of newest records without an end is an error. Correct before and unchanged: log_read_s, caught_up_s, followed_s, leases, load reports.

--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -81,7 +81,7 @@
     table : RoutingTable or None
         The newest configuration.
     config_read_s : float
-        Start of the last read that showed the newest configuration, by
+        Latest time known at which the store had no newer configuration, by
         :func:`boot_time_s`, which counts the time of suspensions too.
     has_registry : bool
         Whether the registry of the backend servers was read.
--- a/src/sycamorespool/peers/peer_reads.py
+++ b/src/sycamorespool/peers/peer_reads.py
@@ -2,13 +2,18 @@
 
 One entry of a data centre reads the store, and the others read from it,
 which saves reads of the store.  Each entry caches the newest records of the
-topics that it reads, with the age of its last read, and serves them to
+topics that it reads, with the age of what they show, and serves them to
 entries that ask.  A record keeps its offset, so that an entry can go on
 from the store or from another entry at any time::
 
-    page, as_of_s = await read(context, topic, position, wait_s)
+    found = await read(context, topic, position, wait_s)
+    apply(found.page)
+    known_until_s = max(known_until_s, found.as_of_s)
 """
 
+import dataclasses
+import math
+
 import msgspec
 import trio
 
@@ -23,7 +28,8 @@
 
 PATH = "/records"
 PEER_TIMEOUT_S = 0.3
-# An entry whose last read is older than this cannot reach the store.
+# An entry that knows the store as of an earlier time than this ago cannot
+# reach it, or has fallen behind.
 MAX_READ_AGE_S = 1.1
 
 log = logs.make_logger("reads")
@@ -35,7 +41,7 @@
     Parameters
     ----------
     age_s : float
-        Time since the store was read for them.
+        Time since the store had nothing newer than these records.
     timeline : int
         Timeline of the store to which their offsets belong.
     """
@@ -45,6 +51,24 @@
     timeline: decoding.Count = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TopicRead:
+    """Holds what one read of a topic showed.
+
+    Parameters
+    ----------
+    page : Page
+        The records that were read.
+    as_of_s : float
+        Latest time known at which the store had nothing newer than the page,
+        by :func:`entry_context.boot_time_s`; minus infinity if none is known,
+        as with a page that does not reach the end of the log.
+    """
+
+    page: pages.Page
+    as_of_s: float
+
+
 def make_app(context: entry_context.EntryContext) -> asgi.App:
     """Return the application that serves cached records to other entries."""
 
@@ -55,7 +79,7 @@
             return asgi.Response(404)
         context.entry_directory.last_followed_s = trio.current_time()
         records = cache.find_from(start)
-        if records is None:
+        if records is None or math.isinf(cache.as_of_s):
             return asgi.Response(410)
         age_s = entry_context.boot_time_s() - cache.as_of_s
         found = PeerRecords(age_s, records, cache.next.timeline)
@@ -109,7 +133,7 @@
         )
     if fetched.age_s > max_age_s:
         raise exceptions.PeerUnavailable(
-            f"the peer's last read of the store is {fetched.age_s:.1f} s old"
+            f"the peer knows the store as of {fetched.age_s:.1f} s ago"
         )
     return fetched
 
@@ -120,7 +144,7 @@
     start: pages.Position,
     wait_s: float,
     max_age_s: float = MAX_READ_AGE_S,
-) -> tuple[pages.Page, float]:
+) -> TopicRead:
     """Read a topic from a position on, from another entry or the store.
 
     Parameters
@@ -128,12 +152,7 @@
     wait_s : float
         How long the store may wait for a record.
     max_age_s : float
-        How long ago another entry may have read the store.
-
-    Returns
-    -------
-    tuple
-        The page, and a time at which the store had nothing newer.
+        How old what another entry knows of the store may be.
 
     Raises
     ------
@@ -143,16 +162,43 @@
     with trio.move_on_at(context.directory_due_s):
         await context.directory_read.wait()
     context.platform_store.check_position(start)
-    page = await _read_from_peer(context, topic, start, max_age_s)
-    if page is not None:
-        return page
+    found = await _read_from_peer(context, topic, start, max_age_s)
+    if found is None:
+        found = await _read_from_store(context, topic, start, wait_s)
+    context.record_cache_of(topic).add_page(found.page, found.as_of_s)
+    return found
+
+
+async def _read_from_store(
+    context: entry_context.EntryContext,
+    topic: str,
+    start: pages.Position,
+    wait_s: float,
+) -> TopicRead:
     began_s = entry_context.boot_time_s()
-    found = await context.platform_store.read(topic, start, wait_s=wait_s)
-    if not found.records:
-        # No record arrived while the store waited.
-        began_s += wait_s
-    context.record_cache_of(topic).add_page(found, began_s)
-    return found, began_s
+    page = await context.platform_store.read(topic, start, wait_s=wait_s)
+    ended_s = entry_context.boot_time_s()
+    return TopicRead(page, _find_as_of_s(page, began_s, wait_s, ended_s))
+
+
+def _find_as_of_s(
+    page: pages.Page, began_s: float, wait_s: float, ended_s: float
+) -> float:
+    """Return when the store had nothing newer than a page that it returned.
+
+    Parameters
+    ----------
+    began_s, ended_s : float
+        When the read began and ended.
+    wait_s : float
+        How long the store was to wait for a record.
+    """
+    if not page.reaches_end:
+        return -math.inf
+    if page.records or ended_s < began_s + wait_s:
+        return began_s
+    # No record arrived while the store waited.
+    return began_s + wait_s
 
 
 async def _read_from_peer(
@@ -160,7 +206,7 @@
     topic: str,
     start: pages.Position,
     max_age_s: float,
-) -> tuple[pages.Page, float] | None:
+) -> TopicRead | None:
     name = store_readers.choose(
         context.entry_directory, context.name, trio.current_time()
     )
@@ -186,8 +232,7 @@
         )
         return None
     records = tuple(fetched.records)
+    # The peer's age counts from when the store ended with these records.
     end = start.offset + len(records)
     page = pages.Page(start.offset, end, 0, records, start.timeline)
-    as_of_s = began_s - fetched.age_s
-    context.record_cache_of(topic).add_page(page, as_of_s)
-    return page, as_of_s
+    return TopicRead(page, began_s - fetched.age_s)
--- a/src/sycamorespool/platform/pages.py
+++ b/src/sycamorespool/platform/pages.py
@@ -50,6 +50,15 @@
         """Return the position to read on from."""
         return Position(self.timeline, self.start + len(self.records))
 
+    @property
+    def reaches_end(self) -> bool:
+        """Tell whether the partition had no record after those of the page.
+
+        A read returns a limited number of bytes, so that a page of a reader
+        that fell behind may end long before the newest record.
+        """
+        return self.next.offset >= self.end
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyedRecord:
--- a/src/sycamorespool/platform/store.py
+++ b/src/sycamorespool/platform/store.py
@@ -258,10 +258,12 @@
             if end is None:
                 end = pages.Position(self.newest_timeline, page.end)
             records += [_decode_item(item) for item in page.items]
-            if not page.more or not page.items:
+            if not page.more:
+                return Newest(tuple(records), end)
+            if not page.items:
                 break
             query["after"] = page.items[-1].key
-        return Newest(tuple(records), end)
+        raise exceptions.PlatformUnavailable("newest: the list has no end")
 
     async def join(
         self,
--- a/src/sycamorespool/standins/hosted_store.py
+++ b/src/sycamorespool/standins/hosted_store.py
@@ -10,6 +10,7 @@
 import bisect
 import collections
 import dataclasses
+import itertools
 import math
 import struct
 
@@ -93,6 +94,8 @@
         Each state of the group so far.
     read_from : dict
         The position from which each topic was last read.
+    page_bytes : int
+        Length of the records that a read returns at most, but for the first.
     """
 
     partitions: int = 2
@@ -110,6 +113,7 @@
     timeline: int = 1
     group_states: list[GroupState] = dataclasses.field(default_factory=list)
     read_from: dict[str, int] = dataclasses.field(default_factory=dict)
+    page_bytes: int = 1024 * 1024
 
     def restore(self, age_s: float) -> None:
         """Go back to the state that was true ``age_s`` ago."""
@@ -198,11 +202,17 @@
         if self.is_down:
             return asgi.Response(503)
         # The store may have been restored while the read waited.
-        found = topic.records[start:]
+        found = self._cut_page(topic.records[start:])
         body = OFFSET_BOUNDS.pack(len(topic.records), topic.first)
         body += b"".join(RECORD_LENGTH.pack(len(r)) + r for r in found)
         return asgi.Response(200, body, "application/octet-stream")
 
+    def _cut_page(self, records: list[bytes]) -> list[bytes]:
+        """Return the first records, as many as a read returns."""
+        sizes = itertools.accumulate(map(len, records))
+        fitting = sum(size <= self.page_bytes for size in sizes)
+        return records[: max(1, fitting)]
+
     async def _newest(self, request: asgi.Request) -> asgi.Response:
         topic = self._find(request)
         newest: dict[str, tuple[int, bytes]] = {}
--- a/src/sycamorespool/store/config_follower.py
+++ b/src/sycamorespool/store/config_follower.py
@@ -118,10 +118,11 @@
 ) -> pages.Position:
     began_s = entry_context.boot_time_s()
     newest = await context.platform_store.read_newest(wire.CONFIG_TOPIC)
-    reading.recheck_s = math.inf
+    now_s = trio.current_time()
     if cause is topic_follower.ReadCause.RESTORED:
-        reading.recheck_s = trio.current_time() + RESTORE_HOLD_S
-    else:
+        reading.recheck_s = now_s + RESTORE_HOLD_S
+    elif not now_s < reading.recheck_s < math.inf:
+        reading.recheck_s = math.inf
         keys = {record.key for record in newest.records}
         _end_missing_evacuations(context, keys)
     for record in newest.records:
@@ -134,21 +135,33 @@
     context: entry_context.EntryContext,
     reading: _Reading,
     position: pages.Position,
-) -> pages.Position:
+) -> topic_follower.Progress:
     if trio.current_time() >= reading.recheck_s:
-        cause = topic_follower.ReadCause.EXPIRED
-        return await _read_all(context, reading, cause)
-    page, current_s = await peer_reads.read(
+        return await _read_newest(context, reading)
+    found = await peer_reads.read(
         context, wire.CONFIG_TOPIC, position, reading.wait_s
     )
+    page = found.page
+    if not page.reaches_end:
+        # Only the last of many configurations matters, and none before it
+        # may be taken for the newest.
+        return await _read_newest(context, reading)
     # A read that returned records shows only that they were the newest when
     # it began, which is as long ago as it waited, so the next read does not
     # wait.
     reading.wait_s = 0.0 if page.records else WAIT_S
     for record in pages.decode_keyed(page):
         _apply_record(context, record)
-    context.config_read_s = max(context.config_read_s, current_s)
-    return page.next
+    context.config_read_s = max(context.config_read_s, found.as_of_s)
+    return topic_follower.measure(page)
+
+
+async def _read_newest(
+    context: entry_context.EntryContext, reading: _Reading
+) -> topic_follower.Progress:
+    """Read the newest records instead of all that were written meanwhile."""
+    cause = topic_follower.ReadCause.BEHIND
+    return topic_follower.Progress(await _read_all(context, reading, cause))
 
 
 async def run(context: entry_context.EntryContext) -> t.NoReturn:
--- a/src/sycamorespool/store/entry_announcements.py
+++ b/src/sycamorespool/store/entry_announcements.py
@@ -152,15 +152,17 @@
     context: entry_context.EntryContext,
     announcer: _Announcer,
     position: pages.Position,
-) -> pages.Position:
+) -> topic_follower.Progress:
     page = await context.platform_store.read(
         wire.ENTRIES_TOPIC, position, wait_s=WAIT_S
     )
     for record in pages.decode_keyed(page):
         announcer.apply_record(record)
     await announcer.announce_again()
-    await trio.sleep(PAUSE_S)
-    return page.next
+    progress = topic_follower.measure(page)
+    if not progress.is_behind:
+        await trio.sleep(PAUSE_S)
+    return progress
 
 
 async def run(context: entry_context.EntryContext) -> None:
--- a/src/sycamorespool/store/record_cache.py
+++ b/src/sycamorespool/store/record_cache.py
@@ -22,8 +22,9 @@
     next : Position
         Position after the last record.
     as_of_s : float
-        A time at which the store had nothing newer, on the clock that runs
-        while the machine is suspended.
+        Latest time known at which the store had no record at ``next`` or
+        after it, on the clock that runs while the machine is suspended;
+        minus infinity if no such time is known.
     """
 
     records: collections.deque[bytes] = dataclasses.field(
@@ -34,16 +35,28 @@
     _size: int = 0
 
     def add_page(self, page: pages.Page, as_of_s: float) -> None:
-        """Append a page; if its records do not follow, drop the older ones."""
+        """Append a page; if its records do not follow, drop the older ones.
+
+        Parameters
+        ----------
+        as_of_s : float
+            Latest time known at which the store had nothing newer than the
+            page; minus infinity if the page does not show one.
+        """
         if (page.timeline, page.start) != self.next:
             self.records.clear()
             self._size = 0
+        is_ahead = page.timeline == self.next.timeline and (
+            page.next.offset >= self.next.offset
+        )
+        # What was true of an earlier position is true of a later one.
+        known_s = self.as_of_s if is_ahead else -math.inf
         self.records.extend(page.records)
         self._size += sum(map(len, page.records))
         while len(self.records) > KEPT_RECORDS or self._size > KEPT_BYTES:
             self._size -= len(self.records.popleft())
         self.next = page.next
-        self.as_of_s = as_of_s
+        self.as_of_s = max(known_s, as_of_s)
 
     def find_from(self, start: pages.Position) -> list[bytes] | None:
         """Return the records from a position on.
--- a/src/sycamorespool/store/registry_follower.py
+++ b/src/sycamorespool/store/registry_follower.py
@@ -100,15 +100,13 @@
 
 async def _read_on(
     context: entry_context.EntryContext, position: pages.Position
-) -> pages.Position:
+) -> topic_follower.Progress:
     now_s = trio.current_time()
-    page, _ = await peer_reads.read(
-        context, wire.REGISTRY_TOPIC, position, 0.0
-    )
-    for record in pages.decode_keyed(page):
+    found = await peer_reads.read(context, wire.REGISTRY_TOPIC, position, 0.0)
+    for record in pages.decode_keyed(found.page):
         _apply_record(context, record, now_s)
     _forget_removed(context)
-    return page.next
+    return topic_follower.measure(found.page)
 
 
 def _forget_removed(context: entry_context.EntryContext) -> None:
--- a/src/sycamorespool/store/server_ends.py
+++ b/src/sycamorespool/store/server_ends.py
@@ -223,19 +223,23 @@
         self._state.heard_s = began_s
         return newest.end
 
-    async def read_on(self, position: pages.Position) -> pages.Position:
+    async def read_on(
+        self, position: pages.Position
+    ) -> topic_follower.Progress:
         """Read and apply the reports from a position on."""
-        page, as_of_s = await peer_reads.read(
+        found = await peer_reads.read(
             self._context,
             wire.SERVER_ENDS_TOPIC,
             position,
             WAIT_S,
             WAIT_S + peer_reads.MAX_READ_AGE_S,
         )
-        self._apply(pages.decode_keyed(page))
-        age_s = entry_context.boot_time_s() - as_of_s
-        self._state.heard_s = trio.current_time() - age_s
-        return page.next
+        self._apply(pages.decode_keyed(found.page))
+        age_s = entry_context.boot_time_s() - found.as_of_s
+        self._state.heard_s = max(
+            self._state.heard_s, trio.current_time() - age_s
+        )
+        return topic_follower.measure(found.page)
 
 
 async def run(context: entry_context.EntryContext) -> None:
--- a/tests/hosted/test_restore.py
+++ b/tests/hosted/test_restore.py
@@ -101,6 +101,26 @@
 
         run_hosted(scenario)
 
+    # A second whole read during the hold ended the evacuation early.
+    def test_evacuation_holds_while_records_expire(
+        self, run_hosted, monkeypatch
+    ):
+        monkeypatch.setattr(config_follower, "RESTORE_HOLD_S", 4.0)
+
+        async def scenario(fleet):
+            fleet.store.put("keyed.op", "evacuate/dc", {})
+            refused = functools.partial(is_answered, fleet, 503)
+            await fleet.wait_for(refused)
+            await restore(fleet)
+            assert await stays_answered(fleet, 503, 1.0)
+            fleet.store.put("keyed.op", "other", {})
+            fleet.store.put("keyed.op", "other", {})
+            fleet.store.expire_records("keyed.op")
+            assert await stays_answered(fleet, 503, 1.5)
+            await fleet.wait_for(functools.partial(is_answered, fleet, 200))
+
+        run_hosted(scenario)
+
 
 class TestRegistry:
     def test_server_that_left_gets_no_requests(self, run_hosted):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -82,6 +82,12 @@
         page = trio.run(client.read, "topic", pages.Position(0, 5))
         assert page.next == pages.Position(0, 6)
 
+    # A list that was given up after a page was taken for the whole topic.
+    def test_list_of_newest_records_without_an_end_is_not_used(self, answer):
+        answer(1, {"items": [], "more": True, "end": 9})
+        with pytest.raises(exceptions.PlatformUnavailable):
+            trio.run(make_store().read_newest, "topic")
+
     def test_newest_records_are_of_one_timeline(self, answer):
         item = {"key": "a", "value": "", "offset": 1}
         answer(1, {"items": [item], "end": 7, "more": True})
--- a/tests/test_record_cache.py
+++ b/tests/test_record_cache.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from sycamorespool.platform import pages
@@ -51,6 +53,30 @@
     assert cache.find_from(pages.Position(1, 8)) == [b"new"]
 
 
+class TestAsOf:
+    # A partial page made the cache claim that nothing newer existed.
+    def test_partial_page_leaves_the_time_of_the_last_whole_one(self):
+        cache = make_cache()
+        cache.add_page(pages.Page(8, 30, 0, (b"8",)), -math.inf)
+        assert cache.as_of_s == 1.0
+
+    def test_time_does_not_go_back(self):
+        cache = make_cache()
+        cache.add_page(pages.Page(8, 8, 0, ()), 0.5)
+        assert cache.as_of_s == 1.0
+
+    def test_time_of_another_timeline_does_not_count(self):
+        cache = make_cache()
+        page = pages.Page(8, 30, 0, (b"8",), timeline=1)
+        cache.add_page(page, -math.inf)
+        assert cache.as_of_s == -math.inf
+
+    def test_time_of_a_later_position_does_not_count_for_an_earlier_one(self):
+        cache = make_cache()
+        cache.add_page(pages.Page(2, 8, 0, (b"2",)), -math.inf)
+        assert cache.as_of_s == -math.inf
+
+
 def test_large_records_do_not_fill_the_memory():
     cache = record_cache.RecordCache()
     size = record_cache.KEPT_BYTES // 4
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -1,5 +1,6 @@
 """Tests of following a topic of the platform's store."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -9,6 +10,7 @@
 
 PERIOD_S, RETRY_S = 1.0, 0.25
 START = pages.Position(1, 0)
+BEHIND = topic_follower.Progress(START, is_behind=True)
 
 
 def follow(outcomes, duration_s=10.0):
@@ -21,10 +23,10 @@
 
     async def read_on(position):
         outcome = outcomes.pop(0) if outcomes else None
-        if outcome is not None:
+        if isinstance(outcome, Exception):
             raise outcome
         events.append("read")
-        return position
+        return outcome or topic_follower.Progress(position)
 
     async def main():
         with trio.move_on_after(duration_s):
@@ -61,3 +63,30 @@
     unavailable = exceptions.PlatformUnavailable("down")
     events = follow([unavailable, unavailable], PERIOD_S + 3 * RETRY_S)
     assert events == ["started", "outage", "outage", "read", "outage"]
+
+
+# Pages of a long log were read one a period, up to the period times the
+# number of pages late.
+def test_reader_that_is_behind_reads_on_at_once():
+    events = follow([BEHIND, BEHIND], 1.5 * PERIOD_S)
+    assert events == ["started", "read", "read", "read"]
+
+
+def test_outage_lasts_until_the_reader_has_caught_up():
+    unavailable = exceptions.PlatformUnavailable("down")
+    outcomes = [unavailable, BEHIND, None, None]
+    events = follow(outcomes, 2 * PERIOD_S + 2 * RETRY_S)
+    assert events[1:] == ["outage", "read", "outage", "read", "outage", "read"]
+
+
+@pytest.mark.parametrize(
+    ("end", "records", "is_behind"),
+    [(5, (), False), (9, (b"5",), True), (6, (b"5",), False), (9, (), False)],
+)
+def test_page_that_ends_early_shows_that_the_reader_is_behind(
+    end, records, is_behind
+):
+    page = pages.Page(5, end, 0, records, timeline=1)
+    progress = topic_follower.measure(page)
+    assert progress.is_behind is is_behind
+    assert progress.position == page.next
