Bound the answers to an entry's own calls

Here answers to callers' requests were bounded, answers to reports, orders, health checks and probes were not.

Cause: http_client.exchange took 16 MiB of each answer as a list of parts, joined at the end, and nothing bounded fields of a head or all answers together. An entry calls all engines of its domains at the same time.

Change: short_calls makes an entry's calls to servers; each says how long its answer may be, and heads, fields and parts have limits of their own. It takes the place of the connection pools by address. http_client.exchange stays for the store and other entries: one buffer, a limit of fields, and one sum of bytes for each pool (store 12 MiB, entries 8 MiB). An entry serves at most 1 MiB of records to another one, which reads the store for more.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -16,7 +16,6 @@
 import tempfile
 import typing as t
 
-import httpcore
 import msgspec
 import trio
 
@@ -136,7 +135,7 @@
         variables: abc.Mapping[str, str] | None = None,
     ) -> None:
         self.processes: dict[str, Process] = {}
-        self.pool: httpcore.AsyncConnectionPool = http_client.make_pool()
+        self.pool: http_client.Pool = http_client.make_pool()
         self._folder = tempfile.TemporaryDirectory()
         self._platform = find_free_address()
         self._load_s = load_s
--- a/src/sycamorespool/backend_servers/control.py
+++ b/src/sycamorespool/backend_servers/control.py
@@ -1,6 +1,5 @@
 """Controls backend servers: orders and moves of the KV cache."""
 
-import httpcore
 import msgspec
 import trio
 
@@ -28,7 +27,7 @@
         raise exceptions.BackendCut(str(error)) from error
 
 
-def make_order_pool() -> httpcore.AsyncConnectionPool:
+def make_order_pool() -> http_client.Pool:
     """Make the connection pool for orders.
 
     An order arrives within the sum of ``ORDER_TIMEOUT_S`` and
@@ -39,7 +38,7 @@
 
 
 async def send_order(
-    pool: httpcore.AsyncConnectionPool, address: str, order: models.Order
+    pool: http_client.Pool, address: str, order: models.Order
 ) -> models.ProbeReport:
     """Send an order and return the state of the backend server after it.
 
@@ -68,9 +67,7 @@
     return _decode_report(answer)
 
 
-async def move_cache(
-    pool: httpcore.AsyncConnectionPool, source: str, target: str
-) -> None:
+async def move_cache(pool: http_client.Pool, source: str, target: str) -> None:
     """Export the KV cache of one backend server and import it at another.
 
     Parameters
@@ -87,9 +84,7 @@
     await _post(pool, f"http://{target}/kv/import", exported)
 
 
-async def _post(
-    pool: httpcore.AsyncConnectionPool, url: str, body: bytes = b""
-) -> bytes:
+async def _post(pool: http_client.Pool, url: str, body: bytes = b"") -> bytes:
     try:
         answer = await http_client.exchange(
             pool, "POST", url, body, ORDER_TIMEOUT_S
--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -13,7 +13,7 @@
 import h11
 import trio
 
-from sycamorespool.backend_servers import connection_pool
+from sycamorespool import connection_pool
 from sycamorespool import exceptions
 from sycamorespool import http_client
 from sycamorespool import sockets
--- a/src/sycamorespool/backend_servers/connection_pool.py
+++ b/src/sycamorespool/connection_pool.py
@@ -13,14 +13,24 @@
 
 
 class HttpConnection:
-    """Holds a connection to a backend server and its state in HTTP."""
+    """Holds a connection to a backend server and its state in HTTP.
+
+    Parameters
+    ----------
+    max_head_bytes : int
+        Length of the longest head or trailer of an answer.
+    """
 
     __slots__ = ("connection", "http", "idle_since_s", "last_attempt_id")
 
-    def __init__(self, connection: sockets.Connection) -> None:
+    def __init__(
+        self,
+        connection: sockets.Connection,
+        max_head_bytes: int = MAX_HEAD_BYTES,
+    ) -> None:
         self.connection = connection
         self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=max_head_bytes
         )
         self.idle_since_s = 0.0
         # Id of the attempt that was answered last, None on a new connection.
--- a/src/sycamorespool/domain_owner.py
+++ b/src/sycamorespool/domain_owner.py
@@ -159,7 +159,7 @@
         owner.context.limits, order.backend_id, entry_context.boot_time_s()
     )
     outcome = await engines.send_order(
-        owner.context.engine_pool,
+        owner.context.server_caller,
         backend.address,
         order,
         unit.fencing_number,
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -15,13 +15,11 @@
 import random
 import time
 
-import httpcore
 import trio
 
-from sycamorespool import address_pools
-from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import streaming_client
 from sycamorespool import backends
+from sycamorespool import connection_pool
 from sycamorespool.decisions.faults import fatal_traits
 from sycamorespool.decisions.placing import cold_limits
 from sycamorespool.decisions.placing import fleet_load
@@ -41,6 +39,7 @@
 from sycamorespool.platform import store
 from sycamorespool.requests import cut_requests
 from sycamorespool import routing_table
+from sycamorespool import short_calls
 from sycamorespool.store import record_cache
 
 # A configuration is trusted for this fraction of ``bounds.revoke_ms``, the
@@ -54,6 +53,11 @@
 # know each other.
 MAX_DIRECTORY_WAIT_S = 1.2
 
+# Length of all answers together that are being read from the store, of which
+# one has up to 1.5 MiB, and from other entries.
+MAX_STORE_BYTES = 12 * 1024 * 1024
+MAX_PEER_BYTES = 8 * 1024 * 1024
+
 # There are enough topics that each entry of a large fleet is assigned a
 # partition.
 SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
@@ -74,9 +78,9 @@
     placement_state : PlacementState
         The backend servers, and what this entry has seen of and sent to
         each.
-    engine_pool : AddressPools
-        Connections for reports and orders of model engines.
-    peer_pool : AsyncConnectionPool
+    server_caller : Caller
+        Makes the entry's own calls to backend servers.
+    peer_pool : Pool
         Connections to other entries.
     table : RoutingTable or None
         The newest configuration.
@@ -134,8 +138,8 @@
     incarnation: int
     platform_store: store.Store
     placement_state: placement_state.PlacementState
-    engine_pool: address_pools.AddressPools
-    peer_pool: httpcore.AsyncConnectionPool
+    server_caller: short_calls.Caller
+    peer_pool: http_client.Pool
     random: random.Random
     limits: server_limits.ServerLimits
     table: routing_table.RoutingTable | None = None
@@ -378,7 +382,7 @@
 
 def make_context(settings: node_settings.Settings) -> EntryContext:
     """Make the context of an entry whose process starts now."""
-    pool = http_client.make_pool()
+    pool = http_client.make_pool(max_held_bytes=MAX_STORE_BYTES)
     incarnation = int(time.time() * 1000)
     regions = node_settings.map_regions(settings.entry)
     return EntryContext(
@@ -386,8 +390,8 @@
         incarnation,
         store.Store(pool, settings.platform.address),
         placement_state.PlacementState(registry.Registry(), regions),
-        address_pools.AddressPools(),
-        http_client.make_pool(),
+        short_calls.Caller(),
+        http_client.make_pool(max_held_bytes=MAX_PEER_BYTES),
         random.Random(f"{settings.entry.name}/{incarnation}"),
         server_limits.ServerLimits(list_partitions(settings)),
         directory_due_s=trio.current_time() + MAX_DIRECTORY_WAIT_S,
--- a/src/sycamorespool/environment.py
+++ b/src/sycamorespool/environment.py
@@ -5,12 +5,11 @@
 import time
 import uuid
 
-import httpcore
 import trio
 
 from sycamorespool import admission
-from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import control
+from sycamorespool import connection_pool
 from sycamorespool.decisions import grant_book
 from sycamorespool.decisions import isolation
 from sycamorespool.decisions import ownership
@@ -41,7 +40,7 @@
     incarnation : int
         Number that identifies this process among the entry's processes:
         its start time in Unix milliseconds.
-    pool : httpcore.AsyncConnectionPool
+    pool : http_client.Pool
         Connections to the platform and to backend servers.
     log : log.LogClient
         Client of the platform's log.
@@ -53,7 +52,7 @@
         When the last read that reached the head of the log began.
     lease : ownership.LeaseState
         The units that this process owns and its lease on them.
-    order_pool : httpcore.AsyncConnectionPool
+    order_pool : http_client.Pool
         Connections for orders to backend servers.
     mode : isolation.Mode
         What access this entry has to the log and to its peers.
@@ -88,11 +87,11 @@
 
     settings: settings.Settings
     incarnation: int
-    pool: httpcore.AsyncConnectionPool
+    pool: http_client.Pool
     log: log.LogClient
     transport: transport.Transport
     lease: ownership.LeaseState
-    order_pool: httpcore.AsyncConnectionPool = dataclasses.field(
+    order_pool: http_client.Pool = dataclasses.field(
         default_factory=control.make_order_pool
     )
     mode: isolation.Mode = isolation.Mode.NORMAL
--- a/src/sycamorespool/http_client.py
+++ b/src/sycamorespool/http_client.py
@@ -3,6 +3,7 @@
 from collections import abc
 import dataclasses
 import socket
+import typing as t
 
 import httpcore
 import msgspec
@@ -19,9 +20,10 @@
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-# A response that is longer, or takes longer than so many of its timeouts in
-# all, is given up, as it may have no end.
+# A response that is longer, has more header fields, or takes longer than so
+# many of its timeouts in all, is given up, as it may have no end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_FIELDS = 256
 TIMEOUTS_PER_EXCHANGE = 2.0
 # Statuses of final answers (RFC 9110, section 15).
 ANSWER_STATUSES = range(200, 600)
@@ -55,9 +57,43 @@
     return status in ANSWER_STATUSES
 
 
+class Pool(httpcore.AsyncConnectionPool):
+    """Keeps connections, and counts what is read on them.
+
+    Parameters
+    ----------
+    max_held_bytes : int
+        Length of all bodies together that are being read.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Length of what has been read of them.
+    """
+
+    def __init__(self, max_held_bytes: int, **options: t.Any) -> None:
+        super().__init__(**options)
+        self.held_bytes = 0
+        self._max_held_bytes = max_held_bytes
+
+    def hold(self, size: int) -> None:
+        """Count some more bytes that are held.
+
+        Raises
+        ------
+        ExchangeFailed
+            If all responses together are too long.
+        """
+        if self.held_bytes + size > self._max_held_bytes:
+            raise ExchangeFailed("all responses together are too long")
+        self.held_bytes += size
+
+
 def make_pool(
-    max_connections: int = 256, unacked_timeout_s: float | None = None
-) -> httpcore.AsyncConnectionPool:
+    max_connections: int = 256,
+    unacked_timeout_s: float | None = None,
+    max_held_bytes: int = 2 * MAX_RESPONSE_BYTES,
+) -> Pool:
     """Return a pool of plain HTTP/1.1 connections without retries.
 
     Parameters
@@ -65,12 +101,15 @@
     unacked_timeout_s : float, optional
         Time after which the kernel gives up on bytes that the peer has
         not acknowledged, including those of a closed connection.
+    max_held_bytes : int
+        Length of all bodies together that may be read at the same time.
     """
     options = []
     if unacked_timeout_s is not None:
         timeout_ms = round(unacked_timeout_s * 1000)
         options = [(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)]
-    return httpcore.AsyncConnectionPool(
+    return Pool(
+        max_held_bytes,
         max_connections=max_connections,
         max_keepalive_connections=max_connections,
         keepalive_expiry=30,
@@ -123,7 +162,7 @@
 
 
 async def exchange(
-    pool: httpcore.AsyncConnectionPool,
+    pool: Pool,
     method: str,
     url: str,
     body: bytes = b"",
@@ -139,7 +178,7 @@
     ExchangeFailed
         If the exchange failed, one of its steps took longer than
         ``timeout_s`` or all of them several times as long, or the response
-        is longer than ``MAX_RESPONSE_BYTES``.
+        exceeds a limit of this module or of its pool.
     """
     pairs = {"content-type": "application/json", **(headers or {})}
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
@@ -156,8 +195,8 @@
                 content=body,
                 extensions={"timeout": timeouts},
             ) as response:
-                _check_status(response.status)
-                content = await _read_content(response)
+                _check_head(response)
+                content = await _read_content(pool, response)
     except CONNECT_ERRORS as error:
         raise NotReached(f"{method} {url}: {error!r}") from error
     except (*EXCHANGE_ERRORS, trio.TooSlowError) as error:
@@ -165,36 +204,27 @@
     return Response(response.status, decode_headers(response.headers), content)
 
 
-async def exchange_alone(
-    method: str, url: str, body: bytes = b"", timeout_s: float = 2.0
-) -> Response:
-    """Send one request on a connection that is used for nothing else.
-
-    No answer to another request can be taken for its answer.
-
-    Raises
-    ------
-    NotReached, ExchangeFailed
-        As :func:`exchange` raises them.
-    """
-    async with make_pool(max_connections=1) as pool:
-        return await exchange(pool, method, url, body, timeout_s, LAST_REQUEST)
-
+def _check_head(response: httpcore.Response) -> None:
+    if not is_answer(response.status):
+        raise ExchangeFailed(
+            f"{response.status} is not the status of an answer"
+        )
+    if len(response.headers) > MAX_FIELDS:
+        raise ExchangeFailed("the response has too many header fields")
 
-def _check_status(status: int) -> None:
-    if not is_answer(status):
-        raise ExchangeFailed(f"{status} is not the status of an answer")
 
-
-async def _read_content(response: httpcore.Response) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.aiter_stream():
-        size += len(part)
-        if size > MAX_RESPONSE_BYTES:
-            raise ExchangeFailed("the response is too long")
-        parts.append(part)
-    return b"".join(parts)
+async def _read_content(pool: Pool, response: httpcore.Response) -> bytes:
+    # One buffer: a list of short parts would take many times their bytes.
+    content = bytearray()
+    try:
+        async for part in response.aiter_stream():
+            pool.hold(len(part))
+            content += part
+            if len(content) > MAX_RESPONSE_BYTES:
+                raise ExchangeFailed("the response is too long")
+    finally:
+        pool.held_bytes -= len(content)
+    return bytes(content)
 
 
 def encode(value: object) -> bytes:
--- a/src/sycamorespool/peers/peer_reads.py
+++ b/src/sycamorespool/peers/peer_reads.py
@@ -31,6 +31,8 @@
 # An entry that knows the store as of an earlier time than this ago cannot
 # reach it, or has fallen behind.
 MAX_READ_AGE_S = 1.1
+# Length of the records of one answer, as long as a read of the store.
+MAX_SERVED_BYTES = 1024 * 1024
 
 log = logs.make_logger("reads")
 
@@ -81,6 +83,9 @@
         records = cache.find_from(start)
         if records is None or math.isinf(cache.as_of_s):
             return asgi.Response(410)
+        if sum(map(len, records)) > MAX_SERVED_BYTES:
+            # An entry that far behind reads the store, in several reads.
+            return asgi.Response(410)
         age_s = entry_context.boot_time_s() - cache.as_of_s
         found = PeerRecords(age_s, records, cache.next.timeline)
         body = msgspec.msgpack.encode(found)
--- a/src/sycamorespool/platform/engines.py
+++ b/src/sycamorespool/platform/engines.py
@@ -9,22 +9,32 @@
 import dataclasses
 import enum
 
-import trio
-
-from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool import exceptions
-from sycamorespool import http_client
 from sycamorespool.platform import headers
 from sycamorespool.platform import wire
+from sycamorespool import short_calls
 from sycamorespool import sockets
 
 REPORT_TIMEOUT_S = 0.45
 ORDER_TIMEOUT_S = 0.4
+# Longest answers.  A report names the models that a VM holds; the others have
+# no body to speak of.
+MAX_REPORT_BYTES = 32 * 1024
+MAX_HEALTH_BYTES = 8 * 1024
+MAX_ORDER_BYTES = 8 * 1024
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+
+
+def _ask_report(address: str, timeout_s: float) -> short_calls.Call:
+    return short_calls.Call(
+        address, "GET", REPORT_PATH, MAX_REPORT_BYTES, timeout_s
+    )
 
 
 async def fetch_report(
-    pools: address_pools.AddressPools, address: str
+    caller: short_calls.Caller, address: str
 ) -> backends.Report:
     """Fetch a model engine's report of its state.
 
@@ -33,17 +43,8 @@
     BackendNotReached, BackendCut
         If there was no valid report.
     """
-    try:
-        answer = await http_client.exchange(
-            await pools.find(address, trio.current_time()),
-            "GET",
-            f"http://{address}/api/report",
-            timeout_s=REPORT_TIMEOUT_S,
-        )
-    except http_client.NotReached as error:
-        raise exceptions.BackendNotReached(str(error)) from error
-    except http_client.ExchangeFailed as error:
-        raise exceptions.BackendCut(str(error)) from error
+    # Whoever wants the report sooner cancels the call.
+    answer = await caller.call(_ask_report(address, 2 * REPORT_TIMEOUT_S))
     if answer.status != 200:
         raise exceptions.BackendCut(
             f"request for a report answered {answer.status}"
@@ -66,32 +67,38 @@
 
 
 async def probe(
-    pools: address_pools.AddressPools, address: str, timeout_s: float
+    caller: short_calls.Caller, address: str, timeout_s: float
 ) -> ProbeStatus:
     """Ask a backend server for an answer with any status."""
-    url = f"http://{address}/api/report"
-    pool = await pools.find(address, trio.current_time())
     try:
-        await http_client.exchange(pool, "GET", url, timeout_s=timeout_s)
-    except http_client.NotReached:
+        await caller.call(_ask_report(address, timeout_s))
+    except exceptions.BackendNotReached:
         is_refused = await sockets.is_refused(address, timeout_s)
         return ProbeStatus.REFUSED if is_refused else ProbeStatus.SILENT
-    except http_client.ExchangeFailed:
+    except exceptions.BackendCut:
         return ProbeStatus.SILENT
     return ProbeStatus.ANSWERED
 
 
-async def is_staying(backend: backends.Backend, health_path: str) -> bool:
+async def is_staying(
+    caller: short_calls.Caller, backend: backends.Backend, health_path: str
+) -> bool:
     """Ask a backend server whether it is healthy and not about to leave.
 
     An answer from another server at the same address counts as no.
     """
-    url = f"http://{backend.address}{health_path}"
+    call = short_calls.Call(
+        backend.address,
+        "GET",
+        health_path,
+        MAX_HEALTH_BYTES,
+        REPORT_TIMEOUT_S,
+        may_reuse=False,
+        is_last=True,
+    )
     try:
-        answer = await http_client.exchange_alone(
-            "GET", url, timeout_s=REPORT_TIMEOUT_S
-        )
-    except (http_client.NotReached, http_client.ExchangeFailed):
+        answer = await caller.call(call)
+    except exceptions.BackendError:
         return False
     named = answer.headers.get(headers.SERVER_ID, "")
     return (
@@ -102,26 +109,27 @@
 
 
 async def send_order(
-    pools: address_pools.AddressPools,
+    caller: short_calls.Caller,
     address: str,
     order: backends.Order,
     fencing_number: int,
     expected_orders: int | None,
 ) -> backends.OrderOutcome:
     """Send an order to a model engine and return its outcome."""
-    body = wire.encode_order(order, fencing_number, expected_orders)
+    call = short_calls.Call(
+        address,
+        "POST",
+        ORDER_PATH,
+        MAX_ORDER_BYTES,
+        ORDER_TIMEOUT_S,
+        wire.encode_order(order, fencing_number, expected_orders),
+        is_last=True,
+    )
     try:
-        answer = await http_client.exchange(
-            await pools.find(address, trio.current_time()),
-            "POST",
-            f"http://{address}/api/order",
-            body,
-            ORDER_TIMEOUT_S,
-            http_client.LAST_REQUEST,
-        )
-    except http_client.NotReached:
+        answer = await caller.call(call)
+    except exceptions.BackendNotReached:
         return backends.OrderOutcome.REFUSED
-    except http_client.ExchangeFailed:
+    except exceptions.BackendCut:
         return backends.OrderOutcome.UNKNOWN
     if wire.holds_report(answer.body):
         return backends.OrderOutcome.UNKNOWN
--- a/src/sycamorespool/platform/log.py
+++ b/src/sycamorespool/platform/log.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 
-import httpcore
 import msgspec
 
 from sycamorespool import decoding
@@ -41,15 +40,13 @@
 
     Parameters
     ----------
-    pool : httpcore.AsyncConnectionPool
+    pool : http_client.Pool
         Connections to use.
     address : str
         ``IP:port`` of the log service.
     """
 
-    def __init__(
-        self, pool: httpcore.AsyncConnectionPool, address: str
-    ) -> None:
+    def __init__(self, pool: http_client.Pool, address: str) -> None:
         self._pool = pool
         self._base = f"http://{address}/log"
 
--- a/src/sycamorespool/platform/membership.py
+++ b/src/sycamorespool/platform/membership.py
@@ -1,6 +1,5 @@
 """Reads the platform's membership list, which may be out of date."""
 
-import httpcore
 import msgspec
 
 from sycamorespool import decoding
@@ -18,15 +17,13 @@
 
     Parameters
     ----------
-    pool : httpcore.AsyncConnectionPool
+    pool : http_client.Pool
         Connections to use.
     address : str
         ``IP:port`` of the platform.
     """
 
-    def __init__(
-        self, pool: httpcore.AsyncConnectionPool, address: str
-    ) -> None:
+    def __init__(self, pool: http_client.Pool, address: str) -> None:
         self._pool = pool
         self._url = f"http://{address}/membership"
         self._body: bytes | None = None
--- a/src/sycamorespool/platform/store.py
+++ b/src/sycamorespool/platform/store.py
@@ -23,7 +23,6 @@
 import typing as t
 import urllib.parse
 
-import httpcore
 import msgspec
 
 from sycamorespool import decoding
@@ -96,7 +95,7 @@
 
     Parameters
     ----------
-    pool : httpcore.AsyncConnectionPool
+    pool : http_client.Pool
         Connections to use.
     address : str
         ``IP:port`` of the store.
@@ -109,9 +108,7 @@
         Newest timeline that an answer named; None before the first.
     """
 
-    def __init__(
-        self, pool: httpcore.AsyncConnectionPool, address: str
-    ) -> None:
+    def __init__(self, pool: http_client.Pool, address: str) -> None:
         self._pool = pool
         self._base = f"http://{address}/api/log-"
         self.calls = 0
--- a/src/sycamorespool/stall_detection.py
+++ b/src/sycamorespool/stall_detection.py
@@ -193,7 +193,7 @@
 ) -> None:
     """Probe a member; add it to ``silent``, or to ``refused`` if it ended."""
     status = await engines.probe(
-        context.engine_pool, member.address, PROBE_TIMEOUT_S
+        context.server_caller, member.address, PROBE_TIMEOUT_S
     )
     if status is engines.ProbeStatus.SILENT:
         silent.append(member.backend_id)
--- a/src/sycamorespool/vm_watch.py
+++ b/src/sycamorespool/vm_watch.py
@@ -149,7 +149,7 @@
     try:
         with trio.fail_after(engines.REPORT_TIMEOUT_S):
             report = await engines.fetch_report(
-                watch.context.engine_pool, backend.address
+                watch.context.server_caller, backend.address
             )
         if report.started_ms != backend.started_ms:
             raise exceptions.BackendCut(
@@ -222,7 +222,7 @@
     if probe.is_leaving or service is None:
         return
     probe.is_leaving = not await engines.is_staying(
-        backend, service.health_path
+        watch.context.server_caller, backend, service.health_path
     )
     log.info(
         "server that left the registry was asked whether it stays",
--- a/tests/backend_servers/test_streaming_client.py
+++ b/tests/backend_servers/test_streaming_client.py
@@ -8,8 +8,8 @@
 import trio
 
 from examples import processes
-from sycamorespool.backend_servers import connection_pool
 from sycamorespool.backend_servers import streaming_client
+from sycamorespool import connection_pool
 from sycamorespool import exceptions
 from sycamorespool.platform import headers
 from sycamorespool import sockets
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -7,10 +7,10 @@
 import trio
 
 from examples import processes
-from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool import exceptions
 from sycamorespool.platform import engines
+from sycamorespool import short_calls
 
 REPORT = {"sequence": 1, "busy": False, "queued": 0, "running": 0}
 ORDER = backends.Order("i-1", backends.OrderKind.LEAVE, "m@1", 1)
@@ -49,9 +49,9 @@
 def run_after_report(engine, call):
     """Fetch a report of an engine, then make a call; return its result."""
 
-    async def fetch_and_call(pools, address):
-        await engines.fetch_report(pools, address)
-        return await call(pools)
+    async def fetch_and_call(caller, address):
+        await engines.fetch_report(caller, address)
+        return await call(caller)
 
     return run(engine, fetch_and_call)
 
@@ -70,8 +70,8 @@
                 )
 
             await nursery.start(listen)
-            pools = address_pools.AddressPools()
-            found.append(await call(pools, engine.address))
+            caller = short_calls.Caller()
+            found.append(await call(caller, engine.address))
             nursery.cancel_scope.cancel()
 
     trio.run(main)
@@ -84,9 +84,9 @@
     def test_it_is_not_taken_for_that_to_an_order(self):
         engine = Engine()
 
-        async def order(pools):
+        async def order(caller):
             return await engines.send_order(
-                pools, engine.address, ORDER, 7, None
+                caller, engine.address, ORDER, 7, None
             )
 
         assert run_after_report(engine, order) is backends.OrderOutcome.UNKNOWN
@@ -105,9 +105,11 @@
     ):
         engine = Engine(status)
 
-        async def order_twice(pools):
+        async def order_twice(caller):
             outcomes = [
-                await engines.send_order(pools, engine.address, ORDER, 7, None)
+                await engines.send_order(
+                    caller, engine.address, ORDER, 7, None
+                )
                 for _ in range(2)
             ]
             return outcomes[1]
@@ -121,8 +123,8 @@
             "i-1", "s", engine.address, "dc", 1, False, domain="d"
         )
 
-        async def ask(pools):
-            return await engines.is_staying(backend, "/health")
+        async def ask(caller):
+            return await engines.is_staying(caller, backend, "/health")
 
         assert run_after_report(engine, ask)
 
@@ -146,24 +148,24 @@
         return make_answer(self._status, body, named)
 
 
-async def get_report(pools, address):
+async def get_report(caller, address):
     try:
-        await engines.fetch_report(pools, address)
+        await engines.fetch_report(caller, address)
     except exceptions.BackendError as error:
         return type(error)
 
 
-async def send_order(pools, address):
-    return await engines.send_order(pools, address, ORDER, 7, None)
+async def send_order(caller, address):
+    return await engines.send_order(caller, address, ORDER, 7, None)
 
 
-async def probe(pools, address):
-    return await engines.probe(pools, address, 1.0)
+async def probe(caller, address):
+    return await engines.probe(caller, address, 1.0)
 
 
-async def ask_health(pools, address):
+async def ask_health(caller, address):
     backend = backends.Backend("i-1", "s", address, "dc", 1, False)
-    return await engines.is_staying(backend, "/health")
+    return await engines.is_staying(caller, backend, "/health")
 
 
 class TestStatus:
--- a/tests/platform/test_membership.py
+++ b/tests/platform/test_membership.py
@@ -1,6 +1,5 @@
 """Tests of the membership client with prepared answers of the platform."""
 
-import httpcore
 import pytest
 import trio
 
@@ -24,7 +23,7 @@
     monkeypatch.setattr(http_client, "exchange", exchange)
 
     async def main():
-        pool = httpcore.AsyncConnectionPool()
+        pool = http_client.make_pool()
         client = membership.MembershipClient(pool, "127.0.0.1:1")
         return [await client.fetch_vms() for _ in answers]
 
--- a/tests/test_peer_reads.py
+++ b/tests/test_peer_reads.py
@@ -123,3 +123,14 @@
         cache = record_cache.RecordCache()
         cache.add_page(pages.Page(7, 20, 0, (b"a",)), -float("inf"))
         assert self.ask(cache, 7)[0] == 410
+
+    # An entry far behind would have got all that this one holds, 16 MiB.
+    def test_no_more_is_served_than_a_read_of_the_store_returns(
+        self, monkeypatch
+    ):
+        Clock(monkeypatch)
+        cache = record_cache.RecordCache()
+        record = bytes(peer_reads.MAX_SERVED_BYTES // 2)
+        cache.add_page(pages.Page(0, 3, 0, (record,) * 3), NOW_S)
+        assert self.ask(cache, 1)[0] == 200
+        assert self.ask(cache, 0)[0] == 410
--- a/tests/test_stall_detection.py
+++ b/tests/test_stall_detection.py
@@ -57,7 +57,7 @@
     return types.SimpleNamespace(
         placement_state=initial_state,
         registry=state,
-        engine_pool=None,
+        server_caller=None,
         reach=reachability.Reachability(),
     )
 
--- a/tests/test_vm_watch.py
+++ b/tests/test_vm_watch.py
@@ -8,12 +8,12 @@
 import pytest
 import trio
 
-from sycamorespool import address_pools
 from sycamorespool import backends
 from sycamorespool.decisions.groups import domain_view
 from sycamorespool.decisions.placing import placement_state
 from sycamorespool.decisions import registry
 from sycamorespool import exceptions
+from sycamorespool import short_calls
 from sycamorespool import vm_watch
 
 HEARTBEAT_S = 1.2
@@ -164,7 +164,7 @@
 
     def __init__(self, nursery, name):
         context = make_context()
-        context.engine_pool = address_pools.AddressPools()
+        context.server_caller = short_calls.Caller()
         address = f"{name[0]}:{name[1]}"
         self.backend = backends.Backend("a", "s", address, "dc", 1, False)
         self.watch = vm_watch.VmWatch(context, nursery)
