Take no request that would be cut at the end of a stop

Here, with 1.7 s left, a request of 2 s whose head or body began before the signal ran, and its caller got 502.

Cause: only the listener knew when open requests are cut; nothing that sends requests to servers asked how much time was left.

Change: decisions/stopping decides by the longest duration of the route's requests lately, or by their deadline if none is known. It is asked for each head, before the body is read, and before each attempt at a server, so that retries and requests that were sent ahead are under it, too.

Related paths: calls passed on by other entries are refused from the signal on, and sycamorespool entry takes none once it drains; both unchanged. Open: a request that lasts far longer than any of its route lately is still cut.

--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -5,7 +5,7 @@
 all durable records.  An :class:`EntryContext` holds what one entry knows of
 these and what it has sent to the backend servers::
 
-    context = make_context(settings)
+    context = context_setup.make_context(settings)
     context.table  # the newest configuration, None before the first
     context.placement_state  # the backend servers and this entry's load there
 """
@@ -31,6 +31,7 @@
 from sycamorespool.decisions import registry
 from sycamorespool.decisions import rendezvous
 from sycamorespool.decisions import retries
+from sycamorespool.decisions import stopping
 from sycamorespool.decisions import store_readers
 from sycamorespool import http_client
 from sycamorespool import metrics
@@ -49,15 +50,6 @@
 # that is refilled in each window.  The rest is a margin for the shares of two
 # entries that overlap while partitions are reassigned.
 RETRY_EXTRA_FRACTION = 0.4
-# Entries that start together would all read the store on their own until they
-# know each other.
-MAX_DIRECTORY_WAIT_S = 1.2
-
-# Length of all answers together that are being read from the store, of which
-# one has up to 1.5 MiB, and from other entries.
-MAX_STORE_BYTES = 12 * 1024 * 1024
-MAX_PEER_BYTES = 8 * 1024 * 1024
-
 # There are enough topics that each entry of a large fleet is assigned a
 # partition.
 SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
@@ -130,6 +122,10 @@
         What other entries have at the servers, and what callers ask for.
     owns_domains : bool
         Whether this entry forms the groups of any fabric domain.
+    stop : Stop or None
+        When the entry was told to stop, and when open requests are cut.
+    durations : Durations
+        How long the requests of each route have lasted lately.
     requests_open : int
         Number of callers' requests that are being served.
     """
@@ -188,7 +184,10 @@
         default_factory=fleet_load.FleetLoad
     )
     owns_domains: bool = False
-    is_stopping: bool = False
+    stop: stopping.Stop | None = None
+    durations: stopping.Durations = dataclasses.field(
+        default_factory=stopping.Durations
+    )
     requests_open: int = 0
     request_closed: trio.Event = dataclasses.field(default_factory=trio.Event)
 
@@ -202,6 +201,22 @@
         """Return the registry of the backend servers."""
         return self.placement_state.registry
 
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether the entry was told to stop."""
+        return self.stop is not None
+
+    def may_begin(
+        self, route: routing_table.Route, limit_s: float, now_s: float
+    ) -> bool:
+        """Tell whether a request may begin now and end before a stop.
+
+        ``limit_s`` is the time after which it ends in any case.
+        """
+        return stopping.may_begin(
+            self.stop, self.durations, route.name, limit_s, now_s
+        )
+
     def note_state_read(self) -> None:
         """Record that a configuration, or the registry, was read."""
         if self.table is not None and self.has_registry:
@@ -370,29 +385,3 @@
 def boot_time_s() -> float:
     """Return the seconds since boot, with the time spent suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-def list_partitions(
-    settings: node_settings.Settings,
-) -> tuple[server_limits.Partition, ...]:
-    """Return all partitions that the store divides among the entries."""
-    parts = range(settings.platform.partitions)
-    return tuple((topic, part) for topic in SHARE_TOPICS for part in parts)
-
-
-def make_context(settings: node_settings.Settings) -> EntryContext:
-    """Make the context of an entry whose process starts now."""
-    pool = http_client.make_pool(max_held_bytes=MAX_STORE_BYTES)
-    incarnation = int(time.time() * 1000)
-    regions = node_settings.map_regions(settings.entry)
-    return EntryContext(
-        settings,
-        incarnation,
-        store.Store(pool, settings.platform.address),
-        placement_state.PlacementState(registry.Registry(), regions),
-        short_calls.Caller(),
-        http_client.make_pool(max_held_bytes=MAX_PEER_BYTES),
-        random.Random(f"{settings.entry.name}/{incarnation}"),
-        server_limits.ServerLimits(list_partitions(settings)),
-        directory_due_s=trio.current_time() + MAX_DIRECTORY_WAIT_S,
-    )
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -13,6 +13,8 @@
 from sycamorespool import asgi
 from sycamorespool.callers import clients
 from sycamorespool.callers import server
+from sycamorespool import context_setup
+from sycamorespool.decisions import stopping
 from sycamorespool import domain_owner
 from sycamorespool import entry_context
 from sycamorespool import exceptions
@@ -75,7 +77,9 @@
         ) as signals:
             async for _ in signals:
                 if not context.is_stopping:
-                    context.is_stopping = True
+                    now_s = trio.current_time()
+                    end_s = now_s + _find_grace_s(context)
+                    context.stop = stopping.Stop(now_s, end_s)
                     nursery.start_soon(
                         _keep_running, partition_share.release, context
                     )
@@ -217,7 +221,7 @@
     """
     changed_ns = _read_mtime_ns(path)
     loaded = node_settings.load(path)
-    context = entry_context.make_context(loaded)
+    context = context_setup.make_context(loaded)
     stop = trio.Event()
     shared = clients.Clients(
         loaded.limits,
--- a/src/sycamorespool/requests/attempt_results.py
+++ b/src/sycamorespool/requests/attempt_results.py
@@ -220,6 +220,15 @@
     )
 
 
+def stopping_error(tries: call_attempts.Tries) -> exceptions.RequestError:
+    """Return the error of a call that would not end before the entry does."""
+    if tries.state.may_have_run:
+        return exceptions.OutcomeUnknown(
+            "answer_lost", "the entry stops, and the answer was lost"
+        )
+    return calls.make_stopping_refusal()
+
+
 def count_retry(context: entry_context.EntryContext, call: calls.Call) -> None:
     """Count an attempt that follows another one or runs beside it."""
     workspace = call.workspace.name if call.workspace else ""
--- a/src/sycamorespool/requests/calls.py
+++ b/src/sycamorespool/requests/calls.py
@@ -148,6 +148,15 @@
     workspace: routing_table.Workspace | None
 
 
+def make_stopping_refusal() -> exceptions.NotRun:
+    """Return the refusal of a request that may not end before the entry."""
+    return exceptions.NotRun(
+        "entry_stopping",
+        "the entry stops too soon for this request",
+        retry_after_s=0.0,
+    )
+
+
 def match(
     context: entry_context.EntryContext, request: caller_request.CallerRequest
 ) -> Match:
--- a/src/sycamorespool/requests/forwarding.py
+++ b/src/sycamorespool/requests/forwarding.py
@@ -262,6 +262,8 @@
     now_s = trio.current_time()
     if now_s >= call.end_s - attempt_results.MIN_TIME_LEFT_S:
         raise attempt_results.final_error(call, tries, now_s)
+    if not context.may_begin(call.route, call.end_s - now_s, now_s):
+        raise attempt_results.stopping_error(tries)
     _check_traits(context, call, tries, now_s)
     found = placement.choose(
         context.placement_state,
--- a/src/sycamorespool/requests/hosted_callers.py
+++ b/src/sycamorespool/requests/hosted_callers.py
@@ -6,6 +6,7 @@
 import trio
 
 from sycamorespool import asgi
+from sycamorespool.decisions import stopping
 from sycamorespool import entry_context
 from sycamorespool import exceptions
 from sycamorespool import logs
@@ -78,7 +79,7 @@
         try:
             await self._wait_for_state()
             # What is refused is not read into memory.
-            calls.match(context, request)
+            self._check_time(calls.match(context, request), request)
             body = await self._read_body(scope, receive)
             request = dataclasses.replace(request, body=body)
             call = calls.find_call(context, request, arrived_s)
@@ -101,6 +102,21 @@
         except (exceptions.NotRun, exceptions.OutcomeUnknown) as error:
             await self._refuse(error, request, caller_answer, arrived_s)
 
+    def _check_time(
+        self, found: calls.Match, request: caller_request.CallerRequest
+    ) -> None:
+        """Check that a request can end before the entry stops.
+
+        Raises
+        ------
+        NotRun
+            If it is expected to take longer.
+        """
+        limit_s = min(request.deadline_s, found.route.timeout_s)
+        now_s = trio.current_time()
+        if not self._context.may_begin(found.route, limit_s, now_s):
+            raise calls.make_stopping_refusal()
+
     async def _wait_for_state(self) -> None:
         """Wait a moment for what a process that has just started reads."""
         if not self._context.state_read.is_set():
@@ -154,6 +170,26 @@
         call: calls.Call,
         receive: asgi.Receive,
         caller_answer: relay.Relay,
+    ) -> None:
+        began_s = trio.current_time()
+        try:
+            await self._run_to_end(call, receive, caller_answer)
+        except exceptions.OutcomeUnknown:
+            self._note_duration(call, began_s)
+            raise
+        self._note_duration(call, began_s)
+
+    def _note_duration(self, call: calls.Call, began_s: float) -> None:
+        now_s = trio.current_time()
+        stopping.note_duration(
+            self._context.durations, call.route.name, now_s - began_s, now_s
+        )
+
+    async def _run_to_end(
+        self,
+        call: calls.Call,
+        receive: asgi.Receive,
+        caller_answer: relay.Relay,
     ) -> None:
         if not call.route.is_repeatable:
             # It runs to its end even if the caller disconnects, as giving it
--- a/tests/hosted/test_stopping.py
+++ b/tests/hosted/test_stopping.py
@@ -175,6 +175,81 @@
         run_process(scenario, stop_s=SHORT_STOP_S)
 
 
+LATE_STOP_S = 5.5
+# After the time in which new connections come, with 1.7 s left.
+LATE_S = 3.4
+BODY = b'{"n":7}'
+HEAD = (
+    f"POST /orders/1 HTTP/1.1\r\nhost: {fleets.HOST}\r\n"
+    f"authorization: Bearer {fleets.KEY}\r\n"
+    "sycamorespool-attempt-id: late\r\n"
+    f"content-length: {len(BODY)}\r\n\r\n"
+).encode()
+
+
+async def ask_late(fleet, sent_before):
+    """Stop the entry; send a request's rest late, and return the answer."""
+    request = HEAD + BODY
+    connection = await sockets.connect(fleet.callers)
+    await connection.send(request[:sent_before])
+    await trio.sleep(SIGNAL_PAUSE_S)
+    fleet.popen.send_signal(signal.SIGTERM)
+    await trio.sleep(LATE_S)
+    await connection.send(request[sent_before:])
+    answer = b""
+    with trio.fail_after(LATE_STOP_S):
+        while data := await connection.receive():
+            answer += data
+    connection.close()
+    return answer
+
+
+# Requests that came late in the grace of a stop were passed on, and cut at
+# its end without an answer though they had run.
+@pytest.mark.parametrize(
+    "sent_before", [len(HEAD) // 2, len(HEAD) + 2], ids=["head", "body"]
+)
+class TestLateRequest:
+    def test_request_that_would_be_cut_does_not_run(
+        self, run_process, sent_before
+    ):
+        async def scenario(fleet):
+            server = fleet.servers[0]
+            server.event_s = 2.0
+            assert (await fleet.ask("/orders/1")).status == 200
+            answer = await ask_late(fleet, sent_before)
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"entry_stopping" in answer
+            assert b"connection: close" in answer.lower()
+            assert len(server.runs) == 1
+            await fleet.wait_for(fleet.has_ended)
+
+        run_process(scenario, stop_s=LATE_STOP_S)
+
+    def test_request_of_unknown_duration_does_not_run(
+        self, run_process, sent_before
+    ):
+        async def scenario(fleet):
+            server = fleet.servers[0]
+            server.event_s = 2.0
+            answer = await ask_late(fleet, sent_before)
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert not server.runs
+
+        run_process(scenario, stop_s=LATE_STOP_S)
+
+    def test_request_that_ends_in_time_is_served(
+        self, run_process, sent_before
+    ):
+        async def scenario(fleet):
+            fleet.servers[0].event_s = 0.4
+            assert (await fleet.ask("/orders/1")).status == 200
+            answer = await ask_late(fleet, sent_before)
+            assert answer.startswith(b"HTTP/1.1 200")
+
+        run_process(scenario, stop_s=LATE_STOP_S)
+
+
 async def put_new_key(fleet):
     """Write a configuration with another key; wait until it is in force."""
     fleet.config["version"] += 1
