A success without the server's signature is a cut answer

Cause: an answer was a server's own by the attempt's id alone.

Change: Dialect.is_genuine says which marks an answer must have, and is asked where the id is compared, before anything is relayed. A success without a signature, or with an empty one, counts as cut: it is asked of another server where the route allows it, and is a 502 where not. Plain answers, streams, resumed streams and answers of calls passed on go through the same check. Failures need none.

--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -32,9 +32,13 @@
     return status in REFUSALS
 
 
+def _accept_any(status: int, headers: abc.Mapping[str, str]) -> bool:
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
-    """Says how requests carry the attempt's id and answers show a refusal.
+    """Says what marks requests, their answers and refusals.
 
     Parameters
     ----------
@@ -43,12 +47,16 @@
         request and in its answer.
     is_refusal : callable
         Tells from status and headers whether the request was not run.
+    is_genuine : callable
+        Tells from status and headers whether an answer has all marks of one
+        that the backend server gave.
     """
 
     attempt_header: str = ATTEMPT_HEADER
     is_refusal: abc.Callable[[int, abc.Mapping[str, str]], bool] = (
         _is_refusal_status
     )
+    is_genuine: abc.Callable[[int, abc.Mapping[str, str]], bool] = _accept_any
 
 
 OWN_DIALECT = Dialect()
@@ -261,6 +269,10 @@
     is_unnamed = is_refusal and not named and http_connection.is_new
     if named != outgoing.attempt_id and not is_unnamed:
         raise exceptions.BackendCut("the answer has another attempt's id")
+    if not dialect.is_genuine(answer.status, answer.headers):
+        raise exceptions.BackendCut(
+            f"the answer {answer.status} has no signature"
+        )
     if is_refusal:
         raise exceptions.BackendRefused(answer.status, "", answer.headers)
 
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -54,7 +54,9 @@
 # partition.
 SHARE_TOPICS = tuple(f"share-{n}" for n in range(16))
 
-DIALECT = streaming_client.Dialect(headers.ATTEMPT, headers.is_refusal)
+DIALECT = streaming_client.Dialect(
+    headers.ATTEMPT, headers.is_refusal, headers.is_genuine
+)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/sycamorespool/platform/headers.py
+++ b/src/sycamorespool/platform/headers.py
@@ -35,6 +35,8 @@
 # and its start.
 SERVED_BY = "x-served-by"
 KEY_SCHEME = "bearer"
+# Statuses below it are successes.
+FIRST_REDIRECT = 300
 MISDIRECTED = 421
 UNAVAILABLE = 503
 # Statuses by which callers take a request for one that has not run.
@@ -300,6 +302,15 @@
     return status == MISDIRECTED or NOT_RUN in headers
 
 
+def is_genuine(status: int, headers: abc.Mapping[str, str]) -> bool:
+    """Tell whether an answer is that of a server, as far as its head shows.
+
+    Callers take a success only with the server's signature.
+    """
+    is_success = status < FIRST_REDIRECT
+    return not is_success or bool(headers.get(SIGNATURE, "").strip())
+
+
 def decode_notice(
     status: int, headers: abc.Mapping[str, str]
 ) -> backends.Notice:
--- a/tests/backend_servers/test_streaming_client.py
+++ b/tests/backend_servers/test_streaming_client.py
@@ -157,6 +157,41 @@
         assert exchange(server, "a") == [status]
 
 
+SIGNED = streaming_client.Dialect(
+    headers.ATTEMPT, headers.is_refusal, headers.is_genuine
+)
+
+
+def sign(answer, signature):
+    field = f"{headers.SIGNATURE}: {signature}\r\n".encode()
+    return answer.replace(b"content-length", field + b"content-length")
+
+
+class TestSignature:
+    # Review 7 (MIXED): a success whose signature was spoiled reached the
+    # caller, though another server could answer.
+    @pytest.mark.parametrize("status", [200, 204, 206])
+    @pytest.mark.parametrize("signature", [None, "", " "])
+    def test_success_without_a_signature_is_a_cut_answer(
+        self, status, signature
+    ):
+        answer = make_answer(status, "a")
+        if signature is not None:
+            answer = sign(answer, signature)
+        server = Server(answer)
+        assert exchange(server, "a", dialect=SIGNED) == [exceptions.BackendCut]
+
+    @pytest.mark.parametrize("status", [200, 204, 404, 500])
+    def test_signed_answer_is_taken(self, status):
+        server = Server(sign(make_answer(status, "a"), "s"))
+        assert exchange(server, "a", dialect=SIGNED) == [status]
+
+    @pytest.mark.parametrize("status", [304, 404, 500])
+    def test_failure_needs_no_signature(self, status):
+        server = Server(make_answer(status, "a"))
+        assert exchange(server, "a", dialect=SIGNED) == [status]
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n%b: a\r\n" % headers.ATTEMPT.encode()
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 
--- a/tests/hosted/test_answers.py
+++ b/tests/hosted/test_answers.py
@@ -241,3 +241,42 @@
             assert await ask_for_success(fleet, path) in (0, 502)
 
         run_raw(scenario, send_raw(b"HTTP/1.1 200 OK\r\n", sent))
+
+
+def send_unsigned(body, kind):
+    """Return a script that sends a whole answer without a signature."""
+
+    async def script(stream, request):
+        head = raw_server.make_head(request, kind)
+        spoiled = head.replace(b"replica-signature", b"replica-signatura")
+        await stream.send_all(spoiled + b"\r\n" + body)
+
+    return script
+
+
+class TestUnsignedAnswer:
+    # Review 7 (MIXED): a success whose signature was spoiled reached the
+    # caller, though another server could answer.
+    @pytest.mark.parametrize(
+        ("path", "body", "kind"),
+        [("/files/1", b"hello", b"text/plain"), ("/notes/1", EVENTS, STREAM)],
+    )
+    def test_success_is_asked_of_another_server(
+        self, run_raw, path, body, kind
+    ):
+        async def scenario(fleet, servers):
+            answer = await ask_until_reached(fleet, servers[0], path)
+            assert (answer.status, answer.body) == (200, body)
+            assert "sycamorespool-replica-signature" in answer.headers
+
+        run_raw(
+            scenario, send_unsigned(body, kind), raw_server.send(body, kind)
+        )
+
+    def test_success_of_a_request_that_may_not_repeat_is_unknown(
+        self, run_raw
+    ):
+        async def scenario(fleet, servers):
+            assert await ask_for_success(fleet, "/marks/1") == 502
+
+        run_raw(scenario, send_unsigned(b"hello", b"text/plain"))
