Send long bodies without a copy for each attempt

Cause: each attempt joined the head and the body to one piece that lived until its server had read it; attempts beside each other held up to four copies of a body, which is counted once.

Change: head and body are sent as two parts, the second one being the body itself. The same claim elsewhere: an answer read ahead beside other attempts took up to 1 MiB that nothing counted; it counts now with what is held for the caller, and is passed on as it comes without room.

--- a/src/sycamorespool/backend_servers/streaming_client.py
+++ b/src/sycamorespool/backend_servers/streaming_client.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Time to read the rest of an answer for the sake of its connection.
 FINISH_TIMEOUT_S = 0.2
+# A body up to this length is sent together with the head.
+MAX_COPIED_BYTES = 16 * 1024
 # Number of times that the idle deadline is moved within its timeout, at most.
 RENEWALS_PER_TIMEOUT = 8
 
@@ -230,7 +232,14 @@
         raise exceptions.BackendUnreachable(repr(error), False) from error
 
 
-def _encode_request(http: h11.Connection, outgoing: OutgoingRequest) -> bytes:
+def _encode_request(
+    http: h11.Connection, outgoing: OutgoingRequest
+) -> list[bytes]:
+    """Return the bytes of a request in parts.
+
+    A long body is a part of its own and the same object as that of the
+    request, so that attempts beside each other hold no copies of it.
+    """
     headers = {
         "host": outgoing.address,
         **outgoing.headers,
@@ -242,11 +251,14 @@
         target=outgoing.path,
         headers=http_client.encode_headers(headers),
     )
-    parts = [http.send(request)]
+    head = http.send(request) or b""
     if outgoing.body:
-        parts.append(http.send(h11.Data(data=outgoing.body)))
-    parts.append(http.send(h11.EndOfMessage()))
-    return b"".join(parts)
+        http.send_with_data_passthrough(h11.Data(data=outgoing.body))
+    # Nothing follows a body whose length the head tells.
+    http.send(h11.EndOfMessage())
+    if len(outgoing.body) > MAX_COPIED_BYTES:
+        return [head, outgoing.body]
+    return [head + outgoing.body]
 
 
 async def _exchange_heads(
@@ -255,9 +267,8 @@
     answer: BackendAnswer,
 ) -> None:
     try:
-        await http_connection.connection.send(
-            _encode_request(http_connection.http, outgoing)
-        )
+        for part in _encode_request(http_connection.http, outgoing):
+            await http_connection.connection.send(part)
     except OSError as error:
         raise exceptions.BackendCut(repr(error)) from error
     await answer.read_head()
--- a/src/sycamorespool/requests/attempts.py
+++ b/src/sycamorespool/requests/attempts.py
@@ -140,9 +140,14 @@
             raise exceptions.BackendCut("the stream ends within an event")
         self._is_read = True
 
-    async def read_whole(self) -> None:
+    async def read_whole(self, may_hold: abc.Callable[[float], bool]) -> None:
         """Read ahead to the end, or as much as may be held.
 
+        Parameters
+        ----------
+        may_hold : callable
+            Accounts for so many more bytes, if there is room for them.
+
         Raises
         ------
         BackendCut
@@ -150,13 +155,15 @@
         """
         parts: list[bytes] = []
         size = 0
-        while size <= relay.MAX_BUFFERED_BYTES:
+        has_room = True
+        while has_room and size <= relay.MAX_BUFFERED_BYTES:
             data = await self._read_bytes()
             if not data:
                 self._is_read = True
                 break
             parts.append(data)
             size += len(data)
+            has_room = may_hold(len(data))
         self._held = b"".join(parts)
 
     async def read(self) -> bytes:
@@ -215,7 +222,7 @@
         )
     else:
         if tries.has_other(movable):
-            await answer.read_whole()
+            await answer.read_whole(caller_answer.may_hold)
         await caller_answer.copy_whole(answer, is_json=False)
 
 
--- a/src/sycamorespool/requests/relay.py
+++ b/src/sycamorespool/requests/relay.py
@@ -89,7 +89,7 @@
         self.request_id = request_id
         self._send = send
         self._select_headers = select_headers
-        self._may_hold = may_hold
+        self.may_hold = may_hold
         self._headers = (
             {REQUEST_ID_HEADER: request_id} if headers is None else headers
         )
@@ -188,7 +188,7 @@
         is_held = True
         while chunk := await answer.read():
             held += chunk
-            is_held = is_held and self._may_hold(len(chunk))
+            is_held = is_held and self.may_hold(len(chunk))
             if not is_held or len(held) > MAX_BUFFERED_BYTES:
                 is_held = False
                 body, held = bytes(held), bytearray()
--- a/tests/backend_servers/test_streaming_client.py
+++ b/tests/backend_servers/test_streaming_client.py
@@ -3,9 +3,11 @@
 import contextlib
 import errno
 import math
+import tracemalloc
 
 import pytest
 import trio
+import trio.testing
 
 from examples import processes
 from sycamorespool.backend_servers import streaming_client
@@ -222,6 +224,54 @@
         assert exchange(server, "a")[0] in (exceptions.BackendClosed, None)
 
 
+class TestMemory:
+    BODY = bytes(4 * 1024 * 1024)
+    ATTEMPTS = 4
+
+    # Review 9: each attempt beside others held a copy of the body until its
+    # server had read it, beyond the memory of the machine.
+    def test_attempts_beside_each_other_hold_no_copies_of_the_body(self):
+        address = processes.find_free_address()
+
+        async def never_read(stream):
+            await trio.sleep_forever()
+
+        async def send(pool, number):
+            outgoing = streaming_client.OutgoingRequest(
+                address, "POST", "/a", {}, self.BODY, f"a{number}"
+            )
+            end_s = trio.current_time() + 30.0
+            async with streaming_client.open_request(
+                pool, outgoing, math.inf, end_s
+            ):
+                pass
+
+        async def main():
+            pool = connection_pool.ConnectionPool()
+            host, _, port = address.rpartition(":")
+            async with trio.open_nursery() as nursery:
+
+                async def listen(task_status=trio.TASK_STATUS_IGNORED):
+                    await trio.serve_tcp(
+                        never_read,
+                        int(port),
+                        host=host,
+                        task_status=task_status,
+                    )
+
+                await nursery.start(listen)
+                tracemalloc.start()
+                for number in range(self.ATTEMPTS):
+                    nursery.start_soon(send, pool, number)
+                await trio.testing.wait_all_tasks_blocked(0.3)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                nursery.cancel_scope.cancel()
+            return peak_bytes
+
+        assert trio.run(main) < len(self.BODY)
+
+
 class TestDescriptors:
     @pytest.fixture(autouse=True)
     def no_descriptors(self, monkeypatch):
