Hand over between entries what a restored store lacks

Cause: an entry that starts believes the store and asks nobody, though the others know a newer version and the last heartbeat of each server.

Change: before it applies its first read, and the first read after a restore, an entry asks up to three entries of its data centre, then three others, for the configuration if it is newer, servers that left and those that are known, and evacuations that are held. Versions and heartbeats decide; nothing goes back. Nobody answers: the entry starts as before, and says so in its log and in state_handovers.

Not handed over yet: parts that end servers, limits of servers.

--- a/src/sycamorespool/decisions/registry.py
+++ b/src/sycamorespool/decisions/registry.py
@@ -53,6 +53,23 @@
     removed_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LastSeen:
+    """Holds what another entry tells of a server.
+
+    Parameters
+    ----------
+    last : Instant
+        The last registry entry that was known of it.
+    age_s : float
+        Time since it was dropped; 0 if it is still known.
+    """
+
+    backend_id: str
+    last: Instant
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Group:
     """Holds the backend servers that report the same group and epoch.
@@ -307,6 +324,28 @@
             apply_entry(registry, backend_id, backend, now_s)
 
 
+def apply_removed(
+    registry: Registry, removed: abc.Iterable[LastSeen], now_s: float
+) -> None:
+    """Apply what other entries know of servers that have left.
+
+    A server whose registry entry is newer than that stays; one that is not,
+    came back by a late record and is dropped.
+    """
+    for server in removed:
+        removed_s = now_s - server.age_s
+        known = registry.servers.get(server.backend_id)
+        before = registry.removed.get(server.backend_id)
+        is_newer = known is not None and _instant(known) > server.last
+        is_known = before is not None and before.last >= server.last
+        if is_newer or is_known or server.age_s > REMOVED_KEEP_S:
+            continue
+        if known is not None:
+            registry.removal_due_s[server.backend_id] = now_s
+            forget_removed(registry, now_s)
+        registry.removed[server.backend_id] = Removed(server.last, removed_s)
+
+
 def list_members(
     registry: Registry, head: backends.Backend
 ) -> list[backends.Backend]:
--- a/src/sycamorespool/entry_context.py
+++ b/src/sycamorespool/entry_context.py
@@ -21,6 +21,7 @@
 from sycamorespool import backends
 from sycamorespool import connection_pool
 from sycamorespool.decisions.faults import fatal_traits
+from sycamorespool.decisions import handed_state
 from sycamorespool.decisions.placing import cold_limits
 from sycamorespool.decisions.placing import fleet_load
 from sycamorespool.decisions.placing import limited_turns
@@ -91,6 +92,8 @@
         Set once the list of entries was read for the first time.
     directory_due_s : float
         Until when reads that another entry could serve wait for that list.
+    handover : Handover
+        What other entries told, and what this one would tell them.
     record_caches : dict
         The newest records that this entry read, by topic.
     share : float
@@ -149,6 +152,10 @@
     )
     directory_read: trio.Event = dataclasses.field(default_factory=trio.Event)
     directory_due_s: float = -math.inf
+    handover: handed_state.Handover = dataclasses.field(
+        default_factory=handed_state.Handover
+    )
+    handover_lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
     record_caches: "dict[str, record_cache.RecordCache]" = dataclasses.field(
         default_factory=dict
     )
--- a/src/sycamorespool/hosted.py
+++ b/src/sycamorespool/hosted.py
@@ -27,6 +27,7 @@
 from sycamorespool.peers import peer_probes
 from sycamorespool.peers import peer_reads
 from sycamorespool.peers import reach_watch
+from sycamorespool.peers import state_handover
 from sycamorespool.platform import headers
 from sycamorespool import request_limits
 from sycamorespool.requests import explanations
@@ -184,6 +185,7 @@
             peer_reads.PATH: peer_reads.make_app(context),
             peer_probes.PATH: peer_probes.make_app(context),
             load_exchange.PATH: load_exchange.make_app(context),
+            state_handover.PATH: state_handover.make_app(context),
         },
     )
     serve = functools.partial(
--- a/src/sycamorespool/metric_table.py
+++ b/src/sycamorespool/metric_table.py
@@ -61,6 +61,12 @@
         (),
         "Reports of the load that another entry did not take.",
     ),
+    "state_handovers": Metric(
+        "counter",
+        "handovers",
+        ("outcome",),
+        "Times that other entries were asked for what the store may lack.",
+    ),
     "clients_closed": Metric(
         "counter",
         "connections",
--- a/src/sycamorespool/store/entry_announcements.py
+++ b/src/sycamorespool/store/entry_announcements.py
@@ -1,5 +1,6 @@
 """Announces this entry to the others and follows their announcements."""
 
+import contextlib
 import dataclasses
 import functools
 
@@ -12,6 +13,7 @@
 from sycamorespool import exceptions
 from sycamorespool import logs
 from sycamorespool.platform import pages
+from sycamorespool.platform import store
 from sycamorespool.platform import wire
 from sycamorespool import sockets
 from sycamorespool.store import topic_follower
@@ -52,6 +54,24 @@
     )
 
 
+async def read_announced(
+    platform_store: store.Store,
+) -> dict[str, store_readers.Entry]:
+    """Return the entries that have announced themselves, by name.
+
+    Raises
+    ------
+    PlatformError
+        If there was no answer.
+    """
+    newest = await platform_store.read_newest(wire.ENTRIES_TOPIC)
+    found = {}
+    for record in newest.records:
+        with contextlib.suppress(exceptions.Undecodable):
+            found[record.key] = _decode(record.value or b"")
+    return found
+
+
 @dataclasses.dataclass(slots=True)
 class _Announcer:
     """Announces this entry, and again if another announcement replaced it.
--- a/src/sycamorespool/store/registry_follower.py
+++ b/src/sycamorespool/store/registry_follower.py
@@ -6,10 +6,12 @@
 import trio
 
 from sycamorespool import backends
+from sycamorespool.decisions import handed_state
 from sycamorespool.decisions import registry
 from sycamorespool import entry_context
 from sycamorespool import logs
 from sycamorespool.peers import peer_reads
+from sycamorespool.peers import state_handover
 from sycamorespool.platform import pages
 from sycamorespool.platform import wire
 from sycamorespool.store import topic_follower
@@ -79,12 +81,19 @@
     context: entry_context.EntryContext, cause: topic_follower.ReadCause
 ) -> pages.Position:
     newest = await context.platform_store.read_newest(wire.REGISTRY_TOPIC)
+    handed = handed_state.HandedState()
+    if cause in topic_follower.FIRST_READS:
+        handed = await state_handover.learn(context)
     now_s = trio.current_time()
     entries = {
         record.key: wire.decode_backend(record.key, record.value)
         for record in newest.records
         if record.value is not None
     }
+    gone = handed.removed
+    if cause is topic_follower.ReadCause.STARTED:
+        gone = handed_state.find_gone(handed, entries)
+    registry.apply_removed(context.registry, gone, now_s)
     if cause is topic_follower.ReadCause.RESTORED:
         registry.apply_restored(context.registry, entries, now_s)
     else:
--- a/src/sycamorespool/store/topic_follower.py
+++ b/src/sycamorespool/store/topic_follower.py
@@ -32,6 +32,11 @@
     RESTORED = "store restored"
 
 
+# Reads of a timeline that this process has not read before, of which other
+# entries may know more than the store.
+FIRST_READS = frozenset((ReadCause.STARTED, ReadCause.RESTORED))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
     """Holds how far a topic was read.
--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -242,6 +242,15 @@
 
         return condition
 
+    def knows_config(self, name, version):
+        """Return a condition: a further entry has a configuration."""
+        page = self.metrics_pages[1 + self.further.index(name)]
+
+        async def condition():
+            return await self._read_metric(page, "config_version") == version
+
+        return condition
+
     async def serves_both_groups(self):
         await self.ask_stream()
         return all(engine.runs for engine in self.open_heads())
