--- a/src/sycamorespool/peers/state_handover.py
+++ b/src/sycamorespool/peers/state_handover.py
@@ -165,16 +165,18 @@
         if answers:
             break
     found = handed_state.combine(answers)
-    outcome = "answered" if answers else "alone"
-    context.metrics.count("state_handovers", outcome)
+    age_s = trio.current_time() - began_s
+    if not answers:
+        context.metrics.count("state_handovers", "alone")
+        log.info("no other entry told its state", age_s=age_s)
+        return found
+    context.metrics.count("state_handovers", "answered")
     log.info(
-        "other entries told their state"
-        if answers
-        else "no other entry told its state",
+        "other entries told their state",
         count=len(answers),
         version=found.version,
-        open=len(found.removed),
-        age_s=trio.current_time() - began_s,
+        state=f"{len(found.removed)} servers have left",
+        age_s=age_s,
     )
     return found
 
@@ -212,8 +214,7 @@
     answers: list[handed_state.HandedState],
 ) -> None:
     version = context.table.version if context.table is not None else 0
-    timeline = context.platform_store.newest_timeline
-    url = f"http://{address}{PATH}?version={version}&timeline={timeline}"
+    url = f"http://{address}{PATH}?version={version}"
     try:
         answer = await http_client.exchange(
             context.peer_pool, "GET", url, timeout_s=ROUND_S
--- a/src/sycamorespool/store/topic_follower.py
+++ b/src/sycamorespool/store/topic_follower.py
@@ -149,13 +149,15 @@
 
 
 def _log_behind(topic: Topic, progress: Progress) -> None:
-    log.info(
-        "reads of a topic fell behind"
-        if progress.is_behind
-        else "reads of a topic have caught up",
-        name=topic.name,
-        offset=progress.position.offset,
-    )
+    offset = progress.position.offset
+    if progress.is_behind:
+        log.info(
+            "reads of a topic fell behind", name=topic.name, offset=offset
+        )
+    else:
+        log.info(
+            "reads of a topic have caught up", name=topic.name, offset=offset
+        )
 
 
 def _log_new_start(topic: Topic, cause: ReadCause, timeline: int = 0) -> None:
