--- a/src/sycamorespool/peers/state_handover.py
+++ b/src/sycamorespool/peers/state_handover.py
@@ -30,9 +30,11 @@
 from sycamorespool.store import entry_announcements
 
 PATH = "/state"
-# Entries that are asked at the same time, and how long they may take.
+# Entries that are asked at the same time, and how long they may take.  One
+# that has just started accepts connections long before it answers.
 ASKED = 3
-ROUND_S = 0.25
+ROUND_S = 0.12
+STARTING = 503
 MAX_DATA_CENTRES = 1000
 
 log = logs.make_logger("state")
@@ -127,7 +129,7 @@
             return asgi.Response(400)
         if not context.state_read.is_set():
             # It knows no more than the store has.
-            return asgi.Response(503)
+            return asgi.Response(STARTING)
         message = _make_message(context, version, trio.current_time())
         body = msgspec.msgpack.encode(message)
         return asgi.Response(200, body, "application/msgpack")
@@ -166,7 +168,7 @@
             break
     found = handed_state.combine(answers)
     age_s = trio.current_time() - began_s
-    if not answers:
+    if not found.version:
         context.metrics.count("state_handovers", "alone")
         log.info("no other entry told its state", age_s=age_s)
         return found
@@ -222,6 +224,8 @@
         if answer.status == 200:
             message = decoding.decode_msgpack(answer.body, StateMessage)
             answers.append(_make_state(message))
+        elif answer.status == STARTING:
+            answers.append(handed_state.HandedState())
     except (
         http_client.NotReached,
         http_client.ExchangeFailed,
