Wait for what the entry knows in a test of fatal requests

Cause: it waited until a stand-in's group was open and asked at once; the entry reads the registry each 0.5 s, and a call waits 0.5 s for a server, so that a pause of the process made it 503 no_server. What it checks is unchanged.

--- a/tests/hosted/fleet.py
+++ b/tests/hosted/fleet.py
@@ -242,6 +242,11 @@
 
         return condition
 
+    async def knows_open_group(self):
+        """Tell whether the entry, and not only the engines, know a group."""
+        name = 'groups_open{l0="assistant"}'
+        return await self.read_metric(name) >= 1
+
     def knows_config(self, name, version):
         """Return a condition: a further entry has a configuration."""
         page = self.metrics_pages[1 + self.further.index(name)]
--- a/tests/hosted/test_server_ends.py
+++ b/tests/hosted/test_server_ends.py
@@ -260,7 +260,9 @@
             for _ in range(STREAM_REPEATS):
                 await fleet.wait_for(fleet.has_open_heads)
                 await fleet.ask_prompt("aa", "cc", body=BODY)
+                # The entry reads the registry less often than engines change.
                 await fleet.wait_for(fleet.has_open_heads)
+                await fleet.wait_for(fleet.knows_open_group)
                 answer = await fleet.ask_prompt("aa", "cc")
                 assert answer.status == 200
             assert 0 < fleet.ends <= MOST_REACHED
--- a/tests/hosted/test_state_handover.py
+++ b/tests/hosted/test_state_handover.py
@@ -12,6 +12,7 @@
 from sycamorespool import exceptions
 from sycamorespool.peers import state_handover
 from sycamorespool.platform import wire
+from sycamorespool.store import config_follower
 from tests.hosted import fleet as fleets
 
 OTHER = "entry-2"
@@ -72,6 +73,29 @@
         run_hosted(scenario, entries=[OTHER])
 
 
+class TestEvacuation:
+    # An entry that started after a restore used servers of a data centre
+    # whose evacuation the copy lacked, while the others still held it.
+    def test_evacuation_that_others_hold_is_in_force(
+        self, run_hosted, monkeypatch
+    ):
+        monkeypatch.setattr(config_follower, "RESTORE_HOLD_S", 6.0)
+
+        async def scenario(fleet):
+            copied_s = trio.current_time()
+            fleet.store.put("keyed.op", "evacuate/dc", {})
+            await fleet.wait_for(functools.partial(is_answered, fleet, 503))
+            await trio.sleep(2 * config_follower.PERIOD_S)
+            fleet.store.restore(trio.current_time() - copied_s)
+            # Time for the other entry to read the copy.
+            await trio.sleep(3 * config_follower.PERIOD_S)
+            await fleet.restart_entry()
+            assert await ask_often(fleet, 1.0) == {503}
+            await fleet.wait_for(functools.partial(is_answered, fleet, 200))
+
+        run_hosted(scenario, entries=[OTHER])
+
+
 async def serve_odd_peer(fleet, body, status=200, wait_s=0.0):
     """Announce an entry that answers each call by some bytes."""
 
