--- a/tests/test_short_calls.py
+++ b/tests/test_short_calls.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import types
 
 import pytest
 import trio
@@ -74,6 +75,13 @@
     return bodies[0]
 
 
+def take_done(pool, address, now_s):
+    """Take an idle connection as after one more exchange on it."""
+    taken = pool.take(address, now_s, "b")
+    taken.http = types.SimpleNamespace(start_next_cycle=lambda: None)
+    return taken
+
+
 def make_answer(body):
     return b"%bcontent-length: %d\r\n\r\n%b" % (FIRST, len(body), body)
 
@@ -92,15 +100,19 @@
         run(*servers, scenario=scenario)
         assert [server.connections for server in servers] == [1] * SERVERS
 
-    def test_unused_connections_are_closed(self):
+    def test_unused_connections_are_closed_and_used_ones_stay(self):
         servers = [Server(make_answer(b"ok")) for _ in range(SERVERS)]
 
         async def scenario(caller):
             for server in servers:
                 await caller.call(make_call(server.address))
             now_s = trio.current_time()
-            caller.connections.sweep(now_s + connection_pool.IDLE_EXPIRY_S)
-            assert not caller.connections.count_idle()
+            pool, address = caller.connections, servers[0].address
+            half_s = now_s + connection_pool.IDLE_EXPIRY_S / 2
+            pool.put(address, take_done(pool, address, now_s), "b", half_s)
+            pool.sweep(now_s + connection_pool.IDLE_EXPIRY_S)
+            assert pool.count_idle() == 1
+            assert pool.has_idle(address, now_s)
 
         run(*servers, scenario=scenario)
 
