--- a/review/lib3/engines.py
+++ b/review/lib3/engines.py
@@ -92,6 +92,8 @@
                 await trio.sleep(self.restart_s)
                 self.forget()
                 self.born_ms, self.sequence, self.is_up = int(time.time() * 1000), 0, True
+                for link in self.links:
+                    link.note_target(True)
                 self.world.record("engine", self.id, "is back")
                 self.write_record()
 
@@ -105,6 +107,8 @@
         self.crashes.append(self.world.now())
         self.world.record("engine", self.id, "ends under", attempt)
         self.is_up = False
+        for link in self.links:
+            link.note_target(False)
         self.life.cancel()
 
     async def _serve(self, http, stream, request, body):
--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -201,23 +201,55 @@
     def __init__(self, target_port):
         self.target_port, self.port = target_port, free_port()
         self.scopes = set()
+        self.is_cut = self.hangs = False
+        self.target_is_up = trio.Event()
 
-    def cut(self):
-        """Reset the open connections, and refuse new ones."""
+    def cut(self, hangs=False):
+        """Reset the open connections, and refuse new ones or let them hang."""
+        self.is_cut, self.hangs = True, hangs
         self.listening.cancel()
+        self.target_is_up.set()
         for scope in list(self.scopes):
             scope.cancel()
 
+    def block(self):
+        """Let new connections hang, as a full queue drops their first packets."""
+        self.blocking = socket.socket()
+        self.blocking.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.blocking.bind(("127.0.0.1", self.port))
+        self.blocking.listen(0)
+        self.waiting = []
+        for _ in range(3):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(("127.0.0.1", self.port))
+            self.waiting.append(waiting)
+
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
-        with trio.CancelScope() as self.listening:
-            listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
-            async with trio.open_nursery() as nursery:
-                task_status.started()
-                try:
-                    await trio.serve_listeners(self._run, listeners, handler_nursery=nursery)
-                finally:
-                    for listener in listeners:
-                        listener.socket.close()
+        """Listen while the replica does and the link is not cut."""
+        while not self.is_cut:
+            with trio.CancelScope() as self.listening:
+                listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
+                async with trio.open_nursery() as nursery:
+                    task_status.started()
+                    task_status = trio.TASK_STATUS_IGNORED
+                    try:
+                        await trio.serve_listeners(self._run, listeners, handler_nursery=nursery)
+                    finally:
+                        for listener in listeners:
+                            listener.socket.close()
+            if not self.is_cut:
+                await self.target_is_up.wait()
+        if self.hangs:
+            self.block()
+
+    def note_target(self, is_up):
+        """Refuse connections while nothing listens at the replica."""
+        if is_up:
+            self.target_is_up.set()
+        else:
+            self.target_is_up = trio.Event()
+            self.listening.cancel()
 
     async def _run(self, stream):
         with trio.CancelScope() as scope:
@@ -258,16 +290,17 @@
             link = Link(replica.port)
             await nursery.start(link.serve)
             self.links[f"127.0.0.1:{replica.port}"] = link
+            replica.links.append(link)
         self.store_port = free_port()
         view = {address: f"127.0.0.1:{link.port}" for address, link in self.links.items()}
         answer = functools.partial(self.world._answer_store, links=view)
         await nursery.start(serve_http, self.store_port, answer)
 
-    def cut_links(self):
+    def cut_links(self, hangs=False):
         """Partition the entry from all replicas."""
         self.world.record("entry", self.name, "is partitioned from all replicas")
         for link in self.links.values():
-            link.cut()
+            link.cut(hangs)
 
     def __init__(self, world, name, zone, zones):
         self.world, self.name, self.zone = world, name, zone
@@ -386,6 +419,7 @@
         self.state = "ready"
         self.runs = []
         self.silent_until_s = 0.0
+        self.links = []
 
     async def wait_while_silent(self):
         """Send nothing while the replica stands still."""
