--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -43,10 +44,25 @@
 }
 
 
+# Below the ports that the system gives to outgoing connections, one of which
+# could else take a port before its listener does.
+PORTS = range(12000, 30000)
+_given = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port of this run's own on which nothing listens."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given.add(port)
+        return port
 
 
 def render(template, fields):
@@ -203,15 +219,23 @@
         self.scopes = set()
         self.is_cut = self.hangs = False
         self.target_is_up = trio.Event()
+        self.target_is_up.set()
 
     def cut(self, hangs=False):
         """Reset the open connections, and refuse new ones or let them hang."""
         self.is_cut, self.hangs = True, hangs
-        self.listening.cancel()
+        self.is_repaired = trio.Event()
+        self.waiting, self.blocking = [], None
         self.target_is_up.set()
+        self.listening.cancel()
         for scope in list(self.scopes):
             scope.cancel()
 
+    def repair(self):
+        """Relay connections again."""
+        self.is_cut = False
+        self.is_repaired.set()
+
     def block(self):
         """Let new connections hang, as a full queue drops their first packets."""
         self.blocking = socket.socket()
@@ -227,7 +251,7 @@
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
         """Listen while the replica does and the link is not cut."""
-        while not self.is_cut:
+        while True:
             with trio.CancelScope() as self.listening:
                 listeners = await trio.open_tcp_listeners(self.port, host="127.0.0.1")
                 async with trio.open_nursery() as nursery:
@@ -238,16 +262,20 @@
                     finally:
                         for listener in listeners:
                             listener.socket.close()
-            if not self.is_cut:
-                await self.target_is_up.wait()
-        if self.hangs:
-            self.block()
+            if self.is_cut:
+                if self.hangs:
+                    self.block()
+                await self.is_repaired.wait()
+                for blocking in (*self.waiting, self.blocking):
+                    if blocking is not None:
+                        blocking.close()
+            await self.target_is_up.wait()
 
     def note_target(self, is_up):
         """Refuse connections while nothing listens at the replica."""
         if is_up:
             self.target_is_up.set()
-        else:
+        elif not self.is_cut:
             self.target_is_up = trio.Event()
             self.listening.cancel()
 
@@ -302,6 +330,12 @@
         for link in self.links.values():
             link.cut(hangs)
 
+    def repair_links(self):
+        """End the partition."""
+        self.world.record("entry", self.name, "reaches the replicas again")
+        for link in self.links.values():
+            link.repair()
+
     def __init__(self, world, name, zone, zones):
         self.world, self.name, self.zone = world, name, zone
         self.front, self.ready, self.peers = free_port(), free_port(), free_port()
