--- a/review/15/case.py
+++ b/review/15/case.py
@@ -16,8 +16,8 @@
 MAX_ATTEMPTS = 2
 # When the entry is partitioned, and when the replicas fall silent.
 CUT_S = 3.0
-SILENCES_S = (5.0, 7.4, 9.8, 12.2)
-PERIOD_S = 1 / 50
+SILENCES_S = (5.0, 7.0, 9.0, 11.0, 13.0)
+PERIOD_S = 1 / 60
 SILENCE_S = float(os.environ.get("SILENCE", "1.3"))
 
 
